--- /dev/null
+++ b/Source/Common/json.cc
@@ -0,0 +1,60 @@
+// Implementation of JSON helpers.
+#include "Common/json.h"
+
+#include <memory>
+
+namespace tiller {
+namespace {
+constexpr int kMaxNesting = 32;
+}  // namespace
+
+Result<Json::Value> ParseJson(std::string_view text) {
+  static const Json::CharReaderBuilder builder = [] {
+    Json::CharReaderBuilder made;
+    Json::CharReaderBuilder::strictMode(&made.settings_);
+    made["stackLimit"] = kMaxNesting;
+    return made;
+  }();
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string problems;
+  // The reader throws once the nesting limit is exceeded.
+  try {
+    if (!reader->parse(text.data(), text.data() + text.size(), &value,
+                       &problems)) {
+      return MakeError(ErrorCode::kBadRequest, "malformed JSON: " + problems);
+    }
+  } catch (const Json::Exception& failure) {
+    return MakeError(ErrorCode::kBadRequest, failure.what());
+  }
+  return value;
+}
+
+std::string ToText(const Json::Value& value) {
+  static const Json::StreamWriterBuilder builder = [] {
+    Json::StreamWriterBuilder made;
+    made["indentation"] = "";
+    made["emitUTF8"] = true;
+    return made;
+  }();
+  return Json::writeString(builder, value);
+}
+
+std::string StringOr(const Json::Value& object, const char* key,
+                     std::string fallback) {
+  if (!object.isObject() || !object[key].isString()) return fallback;
+  return object[key].asString();
+}
+
+std::uint64_t UintOr(const Json::Value& object, const char* key,
+                     std::uint64_t fallback) {
+  if (!object.isObject() || !object[key].isUInt64()) return fallback;
+  return object[key].asUInt64();
+}
+
+bool BoolOr(const Json::Value& object, const char* key, bool fallback) {
+  if (!object.isObject() || !object[key].isBool()) return fallback;
+  return object[key].asBool();
+}
+
+}  // namespace tiller
--- /dev/null
+++ b/Source/Control/failover.cc
@@ -0,0 +1,477 @@
+// Implementation of failover.
+#include "Control/failover.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/crypto.h"
+#include "Common/names.h"
+
+namespace tiller::control {
+namespace {
+
+using endpoint::Role;
+
+// An endpoint's own report counts as current for this long.
+constexpr Milliseconds kReportLifetime{1'500};
+// A replica that heard from its primary more recently contradicts a failover.
+constexpr Milliseconds kReplicaSilence{400};
+constexpr Milliseconds kTurnStep{150};
+constexpr std::size_t kMaxTurns = 8;
+constexpr Milliseconds kCallTimeout{700};
+// After a majority promised, wait this long for the rest: a later log may be
+// among them, and fenced stragglers need no repair.
+constexpr Milliseconds kFenceLinger{30};
+constexpr Milliseconds kMaxBackoff{400};
+constexpr Milliseconds kStrayPatience{300};
+constexpr Milliseconds kRepairInterval{1'000};
+constexpr Milliseconds kPlannedPatience{500};
+
+}  // namespace
+
+void Failover::Configure(const config::Config& config) {
+  std::set<GroupId> present;
+  m_group_of.clear();
+  for (const auto& settings : config.groups) {
+    present.insert(settings.name);
+    auto& group = m_groups[settings.name];
+    group.name = settings.name;
+    group.record.group = settings.name;
+    std::set<EndpointId> endpoints;
+    for (const auto& endpoint : settings.endpoints) {
+      endpoints.insert(endpoint.name);
+      m_group_of[endpoint.name] = settings.name;
+      auto& row = group.endpoints[endpoint.name];
+      const auto* zone = config.FindZone(endpoint.zone);
+      row.settings = endpoint;
+      row.zone_out = zone != nullptr && zone->out;
+    }
+    std::erase_if(group.endpoints, [&](const auto& item) {
+      return endpoints.count(item.first) == 0;
+    });
+  }
+  std::erase_if(m_groups, [&](const auto& item) {
+    return present.count(item.first) == 0;
+  });
+}
+
+void Failover::Handle(const traffic::EndpointHeard& heard) {
+  const auto name = m_group_of.find(heard.endpoint);
+  if (name == m_group_of.end()) return;
+  auto& group = m_groups[name->second];
+  auto& row = group.endpoints[heard.endpoint];
+  row.status = heard.status;
+  row.known = true;
+  row.heard = m_context->Now();
+  row.silent_since.reset();
+  if (heard.status.role == Role::kPrimary) {
+    Merge({group.name, heard.status.term, heard.endpoint,
+           heard.status.fence_owner});
+  }
+}
+
+void Failover::Handle(const traffic::EndpointSilent& silent) {
+  const auto name = m_group_of.find(silent.endpoint);
+  if (name == m_group_of.end()) return;
+  auto& row = m_groups[name->second].endpoints[silent.endpoint];
+  if (!row.silent_since) row.silent_since = m_context->Now();
+}
+
+void Failover::Merge(const peer::GroupRecord& record) {
+  const auto it = m_groups.find(record.group);
+  if (it == m_groups.end() || record.term <= it->second.record.term) return;
+  auto& group = it->second;
+  group.record = record;
+  group.suspect_since.reset();
+  m_changed = true;
+  // The new primary deserves the full time before it is suspected.
+  const auto row = group.endpoints.find(record.primary);
+  if (row != group.endpoints.end()) {
+    row->second.heard = m_context->Now();
+    row->second.silent_since.reset();
+  }
+  if (group.phase == Phase::kFencing && record.term >= group.attempt_term) {
+    Abandon(&group, "another host was first");
+  }
+  m_context->Log(log::Channel::kFailover, log::Level::kInfo, "primary_changed",
+                 {{"group", record.group},
+                  {"term", std::to_string(record.term)},
+                  {"primary", record.primary}});
+}
+
+void Failover::OnPause() {
+  const auto now = m_context->Now();
+  m_context->Stats()->Add("pauses_detected");
+  for (auto& [name, group] : m_groups) {
+    group.suspect_since.reset();
+    if (group.phase != Phase::kIdle) Abandon(&group, "this host was paused");
+    for (auto& [endpoint, row] : group.endpoints) {
+      row.silent_since.reset();
+      row.stray_since.reset();
+      if (row.known) row.heard = now;
+    }
+  }
+}
+
+void Failover::Tick() {
+  for (auto& [name, group] : m_groups) TickGroup(&group);
+}
+
+void Failover::TickGroup(GroupRow* group) {
+  const auto now = m_context->Now();
+  if (group->phase == Phase::kFencing) {
+    const bool enough = group->granted.size() >= MajorityOf(*group);
+    const bool all = group->answered.size() == group->endpoints.size();
+    if (enough && (all || now - group->phase_since >= kFenceLinger)) {
+      return ChooseCandidate(group);
+    }
+    if (all || now - group->phase_since >= kCallTimeout) {
+      Abandon(group, "no majority promised the term");
+    }
+    return;
+  }
+  if (group->phase == Phase::kPromoting) {
+    if (now - group->phase_since >= kCallTimeout) {
+      Abandon(group, "the candidate did not answer");
+    }
+    return;
+  }
+  RepairStrays(group);
+  const auto reason = ReasonToAct(*group);
+  if (!reason) {
+    group->suspect_since.reset();
+    return;
+  }
+  if (!group->suspect_since) group->suspect_since = now;
+  if (now < group->not_before ||
+      now - *group->suspect_since < TurnDelay(*group)) {
+    return;
+  }
+  StartAttempt(group, *reason);
+}
+
+bool Failover::PrimaryFailed(const GroupRow& group) const {
+  const auto it = group.endpoints.find(group.record.primary);
+  if (it == group.endpoints.end()) return true;
+  const auto& row = it->second;
+  const auto now = m_context->Now();
+  const bool demoted = row.known && now - row.heard < kReportLifetime &&
+                       row.status.role != Role::kPrimary &&
+                       row.status.fence_term >= group.record.term;
+  if (demoted) return true;
+  return row.silent_since &&
+         now - row.heard >= m_context->Options().suspect_after;
+}
+
+// A majority, without the primary, has to be reachable and must not hear from
+// the primary itself: else it is this host that is cut off.
+bool Failover::MajorityAgrees(const GroupRow& group) const {
+  const auto now = m_context->Now();
+  std::size_t agreeing = 0;
+  for (const auto& [name, row] : group.endpoints) {
+    if (!row.known || now - row.heard >= kReportLifetime) continue;
+    if (name == group.record.primary) {
+      // A demoted primary that answers agrees that it is none.
+      if (row.status.role != Role::kPrimary) ++agreeing;
+      continue;
+    }
+    const bool follows = row.status.role == Role::kReplica &&
+                         row.status.fence_term == group.record.term &&
+                         group.record.term > 0;
+    const bool hears_primary =
+        follows && row.status.primary_silence < kReplicaSilence;
+    if (!hears_primary) ++agreeing;
+  }
+  return agreeing >= MajorityOf(group);
+}
+
+std::optional<std::string> Failover::ReasonToAct(const GroupRow& group) const {
+  const auto now = m_context->Now();
+  if (!group.tickets.empty()) return "operator";
+  if (PrimaryFailed(group)) {
+    if (!MajorityAgrees(group)) return std::nullopt;
+    return group.record.term == 0 ? "bootstrap" : "primary_failed";
+  }
+  const auto primary = group.endpoints.find(group.record.primary);
+  if (primary != group.endpoints.end() && Excluded(primary->second)) {
+    const auto others = std::count_if(
+        group.endpoints.begin(), group.endpoints.end(), [&](const auto& item) {
+          return !Excluded(item.second) && item.second.known &&
+                 now - item.second.heard < kReportLifetime;
+        });
+    if (static_cast<std::size_t>(others) >= MajorityOf(group)) {
+      return "primary_leaves";
+    }
+  }
+  // A failed attempt left a promise behind that keeps a replica out.
+  for (const auto& [name, row] : group.endpoints) {
+    const bool stuck = row.known && now - row.heard < kReportLifetime &&
+                       row.status.fence_term > group.record.term &&
+                       row.stray_since &&
+                       now - *row.stray_since >= kPlannedPatience;
+    if (stuck) return "promise_left_behind";
+  }
+  return std::nullopt;
+}
+
+// Hosts take turns, in an order that differs from group to group and from term
+// to term, so that usually only one starts.
+Duration Failover::TurnDelay(const GroupRow& group) const {
+  const auto seed = group.name + "/" + std::to_string(group.record.term) + "/";
+  const auto own = StableHash(seed + m_context->Options().host);
+  std::size_t before = 0;
+  for (const auto& row : m_members->Live()) {
+    if (StableHash(seed + row.record.host) < own) ++before;
+  }
+  return kTurnStep * static_cast<int>(std::min(before, kMaxTurns));
+}
+
+void Failover::Call(CallKind kind, GroupRow* group, const EndpointRow& row,
+                    Term term, endpoint::Step step) {
+  step.sync_after = true;
+  const auto id = m_context->NextId();
+  m_calls[id] = {kind, group->name, row.settings.name, term};
+  m_context->Emit(CallGroup{id, row.settings.name, row.settings.address,
+                            std::move(step), kCallTimeout});
+}
+
+void Failover::StartAttempt(GroupRow* group, const std::string& reason) {
+  Term highest = group->record.term;
+  for (const auto& [name, row] : group->endpoints) {
+    highest = std::max({highest, row.status.fence_term, row.status.term});
+  }
+  group->attempt_term = highest + 1;
+  group->phase = Phase::kFencing;
+  group->phase_since = m_context->Now();
+  group->granted.clear();
+  group->answered.clear();
+  group->candidate.clear();
+  m_context->Stats()->Add("failover_attempts");
+  m_context->Log(log::Channel::kFailover, log::Level::kWarn, "failover_started",
+                 {{"group", group->name},
+                  {"term", std::to_string(group->attempt_term)},
+                  {"reason", reason}});
+  for (const auto& [name, row] : group->endpoints) {
+    Call(CallKind::kFence, group, row, group->attempt_term,
+         endpoint::FenceStep(group->attempt_term, m_context->Options().host));
+  }
+}
+
+bool Failover::Handle(const GroupCallDone& done) {
+  const auto it = m_calls.find(done.id);
+  if (it == m_calls.end()) return false;
+  const auto call = it->second;
+  m_calls.erase(it);
+  const auto found = m_groups.find(call.group);
+  if (found == m_groups.end()) return true;
+  auto* group = &found->second;
+  if (call.kind == CallKind::kFollow) return true;
+  // An answer to an attempt that was given up changes nothing here.
+  if (call.term != group->attempt_term) return true;
+  if (call.kind == CallKind::kFence && group->phase == Phase::kFencing) {
+    OnFenced(group, call.endpoint, done.result);
+  } else if (call.kind == CallKind::kPromote &&
+             group->phase == Phase::kPromoting) {
+    OnPromoted(group, call, done.result);
+  }
+  return true;
+}
+
+void Failover::OnFenced(GroupRow* group, const EndpointId& endpoint,
+                        const std::optional<endpoint::StepResult>& result) {
+  group->answered.insert(endpoint);
+  if (result && result->ok) {
+    const auto status = endpoint::ParseStatus(*result);
+    const bool promised =
+        status && status.value().fence_term == group->attempt_term &&
+        status.value().fence_owner == m_context->Options().host;
+    if (promised) group->granted[endpoint] = status.value();
+  }
+  TickGroup(group);
+}
+
+EndpointId Failover::BestOf(const GroupRow& group,
+                            const std::set<EndpointId>& choices) const {
+  EndpointId best;
+  const auto rank = [&](const EndpointId& name) {
+    const auto& status = group.granted.at(name);
+    const auto& row = group.endpoints.at(name);
+    const bool wanted = group.preferred && *group.preferred == name;
+    return std::make_tuple(status.term, status.received, wanted, !Excluded(row),
+                           name == group.record.primary);
+  };
+  for (const auto& name : choices) {
+    if (best.empty() || rank(name) > rank(best)) best = name;
+  }
+  return best;
+}
+
+// Any majority of promises holds every acknowledged write. Where those that
+// may serve form a majority by themselves, the choice is made among them.
+void Failover::ChooseCandidate(GroupRow* group) {
+  std::set<EndpointId> all;
+  std::set<EndpointId> serving;
+  const bool by_hand = group->preferred.has_value();
+  for (const auto& [name, status] : group->granted) {
+    all.insert(name);
+    const bool leaves =
+        by_hand && name == group->record.primary && *group->preferred != name;
+    if (!Excluded(group->endpoints[name]) && !leaves) serving.insert(name);
+  }
+  group->candidate =
+      BestOf(*group, serving.size() >= MajorityOf(*group) ? serving : all);
+  group->phase = Phase::kPromoting;
+  group->phase_since = m_context->Now();
+  Call(CallKind::kPromote, group, group->endpoints[group->candidate],
+       group->attempt_term,
+       endpoint::PromoteStep(group->attempt_term, m_context->Options().host));
+}
+
+void Failover::OnPromoted(GroupRow* group, const PendingCall& call,
+                          const std::optional<endpoint::StepResult>& result) {
+  if (!result || !result->ok) {
+    return Abandon(group, "the candidate refused");
+  }
+  group->phase = Phase::kIdle;
+  group->preferred.reset();
+  m_context->Stats()->Add("failovers");
+  Merge({group->name, call.term, call.endpoint, m_context->Options().host});
+  FinishAttempt(group);
+}
+
+void Failover::FinishAttempt(GroupRow* group) {
+  m_members->Announce({group->record});
+  for (auto& [name, row] : group->endpoints) {
+    if (name == group->record.primary) continue;
+    SendFollow(group, &row);
+  }
+  Json::Value result;
+  result["group"] = group->name;
+  result["term"] = Json::UInt64(group->record.term);
+  result["primary"] = group->record.primary;
+  AnswerTickets(group, result);
+}
+
+void Failover::Abandon(GroupRow* group, const std::string& reason) {
+  m_context->Stats()->Add("failover_attempts_abandoned");
+  m_context->Log(log::Channel::kFailover, log::Level::kWarn,
+                 "failover_abandoned",
+                 {{"group", group->name},
+                  {"term", std::to_string(group->attempt_term)},
+                  {"reason", reason}});
+  group->phase = Phase::kIdle;
+  group->not_before =
+      m_context->Now() + Milliseconds(m_context->Rng()->Below(
+                             static_cast<std::uint64_t>(kMaxBackoff.count())));
+  group->preferred.reset();
+  AnswerTickets(group, MakeError(ErrorCode::kConflict, reason));
+}
+
+void Failover::AnswerTickets(GroupRow* group,
+                             const Result<Json::Value>& result) {
+  for (const auto ticket : std::exchange(group->tickets, {})) {
+    m_context->Emit(OperatorReply{ticket, result});
+  }
+}
+
+void Failover::Promote(CallId ticket, const GroupId& name,
+                       const std::optional<EndpointId>& preferred) {
+  const auto it = m_groups.find(name);
+  if (it == m_groups.end()) {
+    m_context->Emit(OperatorReply{
+        ticket, MakeError(ErrorCode::kNotFound, "no group " + name)});
+    return;
+  }
+  auto& group = it->second;
+  if (preferred && group.endpoints.count(*preferred) == 0) {
+    m_context->Emit(OperatorReply{
+        ticket, MakeError(ErrorCode::kNotFound, "no endpoint " + *preferred)});
+    return;
+  }
+  group.tickets.push_back(ticket);
+  if (group.phase != Phase::kIdle) return;
+  group.preferred = preferred;
+  StartAttempt(&group, "operator");
+}
+
+bool Failover::IsStray(const GroupRow& group, const EndpointRow& row) const {
+  const auto& status = row.status;
+  if (status.fence_term > group.record.term) return true;
+  if (status.role == Role::kFenced) return true;
+  if (row.settings.name == group.record.primary) return false;
+  return status.fence_term < group.record.term ||
+         (status.role == Role::kPrimary && status.term < group.record.term);
+}
+
+// Endpoints that missed a promotion are told whom to follow; an old primary
+// that returns is fenced and demoted by the same call.
+void Failover::RepairStrays(GroupRow* group) {
+  const auto now = m_context->Now();
+  if (group->record.term == 0) return;
+  for (auto& [name, row] : group->endpoints) {
+    const bool current = row.known && now - row.heard < kReportLifetime;
+    if (!current || !IsStray(*group, row)) {
+      row.stray_since.reset();
+      continue;
+    }
+    if (!row.stray_since) row.stray_since = now;
+    const bool can_follow = row.status.fence_term <= group->record.term &&
+                            name != group->record.primary;
+    if (!can_follow || now < row.next_repair ||
+        now - *row.stray_since < kStrayPatience + TurnDelay(*group)) {
+      continue;
+    }
+    m_context->Stats()->Add("endpoints_repaired");
+    SendFollow(group, &row);
+  }
+}
+
+void Failover::SendFollow(GroupRow* group, EndpointRow* row) {
+  row->next_repair = m_context->Now() + kRepairInterval;
+  const auto primary = group->endpoints.find(group->record.primary);
+  if (primary == group->endpoints.end()) return;
+  Call(CallKind::kFollow, group, *row, group->record.term,
+       endpoint::FollowStep(group->record.term, group->record.owner,
+                            primary->second.settings.address));
+}
+
+std::vector<peer::GroupRecord> Failover::Records() const {
+  std::vector<peer::GroupRecord> out;
+  for (const auto& [name, group] : m_groups) {
+    if (group.record.term > 0) out.push_back(group.record);
+  }
+  return out;
+}
+
+Json::Value Failover::Describe() const {
+  const auto now = m_context->Now();
+  Json::Value out(Json::arrayValue);
+  for (const auto& [name, group] : m_groups) {
+    Json::Value item;
+    item["group"] = name;
+    item["term"] = Json::UInt64(group.record.term);
+    item["primary"] = group.record.primary;
+    for (const auto& [endpoint, row] : group.endpoints) {
+      Json::Value part;
+      part["endpoint"] = endpoint;
+      part["zone"] = row.settings.zone;
+      part["role"] =
+          row.known ? std::string(NameOf(endpoint::kRoleNames, row.status.role))
+                    : "unknown";
+      part["term"] = Json::UInt64(row.status.term);
+      part["applied"] = Json::UInt64(row.status.applied);
+      part["received"] = Json::UInt64(row.status.received);
+      part["draining"] = row.settings.draining;
+      part["heard_ms_ago"] =
+          row.known ? Json::Int64(std::chrono::duration_cast<Milliseconds>(
+                                      now - row.heard)
+                                      .count())
+                    : Json::Int64(-1);
+      item["endpoints"].append(part);
+    }
+    out.append(item);
+  }
+  return out;
+}
+
+}  // namespace tiller::control
--- /dev/null
+++ b/Source/Daemon/caller_api.cc
@@ -0,0 +1,188 @@
+// Implementation of the callers' HTTP interface.
+#include "Daemon/caller_api.h"
+
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+#include "Common/json.h"
+
+namespace tiller::daemon {
+namespace {
+
+using net::http::verb;
+using traffic::RequestKind;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kTransactions = "/v1/transactions";
+constexpr std::string_view kOpen = "/v1/open/";
+constexpr std::size_t kMaxParameters = 1000;
+
+Error Bad(std::string detail) {
+  return MakeError(ErrorCode::kBadRequest, std::move(detail));
+}
+
+Result<endpoint::Cell> ParseCell(const Json::Value& value) {
+  if (value.isNull()) return endpoint::Cell{};
+  if (value.isString()) {
+    if (value.asString().find('\0') != std::string::npos) {
+      return Bad("a parameter contains a NUL byte");
+    }
+    return endpoint::Cell{value.asString()};
+  }
+  if (value.isBool()) return endpoint::Cell{value.asBool() ? "t" : "f"};
+  if (value.isNumeric()) return endpoint::Cell{value.asString()};
+  return Bad("parameters are strings, numbers, booleans or null");
+}
+
+Result<traffic::Statement> ParseStatement(const Json::Value& json) {
+  if (!json.isObject() || !json["statement"].isString()) {
+    return Bad("\"statement\" must be a string");
+  }
+  traffic::Statement statement{json["statement"].asString(), {}};
+  if (statement.sql.empty()) return Bad("\"statement\" is empty");
+  const auto& parameters = json["parameters"];
+  if (parameters.isNull()) return statement;
+  if (!parameters.isArray() || parameters.size() > kMaxParameters) {
+    return Bad("\"parameters\" must be an array of at most 1000 values");
+  }
+  for (const auto& value : parameters) {
+    auto cell = ParseCell(value);
+    if (!cell) return cell.error();
+    statement.parameters.push_back(std::move(cell.value()));
+  }
+  return statement;
+}
+
+// Routes a POST; false when there is no such route.
+bool ParseRoute(std::string_view target, traffic::CallerRequest* out) {
+  if (target == "/v1/execute") {
+    out->kind = RequestKind::kExecute;
+    return true;
+  }
+  if (target == "/v1/batch") {
+    out->kind = RequestKind::kBatch;
+    return true;
+  }
+  if (target == kTransactions) {
+    out->kind = RequestKind::kBegin;
+    return true;
+  }
+  if (!target.starts_with(kTransactions)) return false;
+  target.remove_prefix(kTransactions.size());
+  const auto slash = target.find('/', 1);
+  if (target.empty() || target[0] != '/' || slash == std::string_view::npos) {
+    return false;
+  }
+  out->transaction = std::string(target.substr(1, slash - 1));
+  const auto call = target.substr(slash + 1);
+  if (call == "execute") {
+    out->kind = RequestKind::kTransactionExecute;
+  } else if (call == "commit") {
+    out->kind = RequestKind::kCommit;
+  } else if (call == "rollback") {
+    out->kind = RequestKind::kRollback;
+  } else {
+    return false;
+  }
+  return !out->transaction.empty();
+}
+
+Result<std::optional<Milliseconds>> ParseMilliseconds(const Json::Value& body,
+                                                      const char* member) {
+  if (!body.isObject() || !body.isMember(member)) {
+    return std::optional<Milliseconds>{};
+  }
+  constexpr std::uint64_t kMax = 86'400'000;
+  if (!body[member].isUInt64() || body[member].asUInt64() > kMax) {
+    return Bad(std::string(member) + " must be milliseconds up to 86400000");
+  }
+  return std::optional(
+      Milliseconds(static_cast<std::int64_t>(body[member].asUInt64())));
+}
+
+Result<void> CheckMembers(const Json::Value& body) {
+  static const std::set<std::string> known = {"statement", "parameters",
+                                              "statements", "max_staleness_ms",
+                                              "deadline_ms"};
+  for (const auto& member : body.getMemberNames()) {
+    if (known.count(member) == 0) return Bad("unknown member " + member);
+  }
+  return Success();
+}
+
+Result<void> ParseBody(const std::string& text, traffic::CallerRequest* out) {
+  Json::Value body(Json::objectValue);
+  if (!text.empty()) {
+    auto parsed = ParseJson(text);
+    if (!parsed) return parsed.error();
+    body = std::move(parsed.value());
+  }
+  if (!body.isObject()) return Bad("the body must be an object");
+  const auto members = CheckMembers(body);
+  if (!members) return members.error();
+  const auto staleness = ParseMilliseconds(body, "max_staleness_ms");
+  if (!staleness) return staleness.error();
+  const auto deadline = ParseMilliseconds(body, "deadline_ms");
+  if (!deadline) return deadline.error();
+  out->max_staleness = staleness.value();
+  out->deadline = deadline.value().value_or(Milliseconds{0});
+  if (out->kind == RequestKind::kBatch) {
+    if (!body["statements"].isArray() || body["statements"].empty()) {
+      return Bad("\"statements\" must be a non-empty array");
+    }
+    for (const auto& item : body["statements"]) {
+      auto statement = ParseStatement(item);
+      if (!statement) return statement.error();
+      out->statements.push_back(std::move(statement.value()));
+    }
+  } else if (out->kind == RequestKind::kExecute ||
+             out->kind == RequestKind::kTransactionExecute) {
+    auto statement = ParseStatement(body);
+    if (!statement) return statement.error();
+    out->statements.push_back(std::move(statement.value()));
+  }
+  return Success();
+}
+
+}  // namespace
+
+Result<traffic::CallerRequest> ParseCallerRequest(
+    const net::HttpRequest& request) {
+  traffic::CallerRequest out;
+  const std::string_view target(request.target().data(),
+                                request.target().size());
+  if (target.starts_with(kOpen)) {
+    if (request.method() != verb::get) return Bad("open routes take GET");
+    out.kind = RequestKind::kOpenRoute;
+    out.open_route = std::string(target.substr(kOpen.size()));
+    return out;
+  }
+  if (!ParseRoute(target, &out)) {
+    return MakeError(ErrorCode::kRouteUnknown, std::string(target));
+  }
+  if (request.method() != verb::post) return Bad("this route takes POST");
+  const auto authorization = request[net::http::field::authorization];
+  if (std::string_view(authorization.data(), authorization.size())
+          .starts_with(kBearer)) {
+    out.key = std::string(authorization.substr(kBearer.size()));
+  }
+  out.token = std::string(request[kSessionHeader]);
+  if (request.find(kIdempotencyHeader) != request.end()) {
+    out.idempotency_key = std::string(request[kIdempotencyHeader]);
+  }
+  const auto body = ParseBody(request.body(), &out);
+  if (!body) return body.error();
+  return out;
+}
+
+net::HttpResponse MakeCallerResponse(const traffic::Reply& reply) {
+  if (reply.error) return net::MakeProblem(*reply.error);
+  auto response = net::MakeResponse(200, "application/json", reply.body);
+  response.set(kSessionHeader, reply.token);
+  return response;
+}
+
+}  // namespace tiller::daemon
--- /dev/null
+++ b/Source/Daemon/daemon_settings.h
@@ -0,0 +1,40 @@
+// Settings of the entry daemon.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "Control/control_context.h"
+#include "Net/http_server.h"
+#include "Settings/settings_table.h"
+#include "Traffic/traffic_core.h"
+
+namespace tiller::daemon {
+
+struct DaemonSettings {
+  std::string host = "host";
+  std::string zone;
+  std::string caller_address = "127.0.0.1";
+  std::uint16_t caller_port = 0;
+  std::string control_address = "127.0.0.1";
+  std::uint16_t control_port = 0;
+  std::string platform;
+  std::vector<std::string> peers;
+  std::string database = "tiller";
+  std::string database_user = "tiller";
+  std::string tls_certificate;
+  std::string tls_key;
+  std::string log_level = "info";
+  Milliseconds drain_delay{2'000};
+  Milliseconds drain_limit{60'000};
+  Milliseconds platform_timeout{1'500};
+  traffic::TrafficOptions traffic;
+  control::ControlOptions control;
+};
+
+// Declares every setting of the daemon once.
+void Declare(settings::SettingsTable* table, DaemonSettings* settings);
+// Rules between several settings.
+std::vector<settings::Problem> CheckTogether(const DaemonSettings& settings);
+
+}  // namespace tiller::daemon
--- /dev/null
+++ b/Source/Limits/token_share.cc
@@ -0,0 +1,254 @@
+// Implementation of the shared rate.
+#include "Limits/token_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace tiller::limits {
+namespace {
+
+// A grant counts only when it arrives within this time of its request.
+constexpr Milliseconds kGrantLifetime{100};
+// Clocks of two hosts may run apart by this share.
+constexpr double kMaxClockDrift = 0.01;
+// A home seat should be able to hold at least this many whole tokens.
+constexpr double kMinTokensPerSeat = 2;
+constexpr Milliseconds kMinBackoff{10};
+constexpr Milliseconds kMaxBackoff{160};
+constexpr std::size_t kMaxAskedAtOnce = 3;
+// A host without a spend for this long lends all it has.
+constexpr Milliseconds kIdleAfter{200};
+constexpr std::size_t kMaxSettledListed = 32;
+
+Duration WithDrift(Duration duration) {
+  return std::chrono::duration_cast<Duration>(duration *
+                                              (1.0 + kMaxClockDrift));
+}
+
+std::vector<int> AllSeats(std::size_t count) {
+  std::vector<int> seats(count);
+  std::iota(seats.begin(), seats.end(), 0);
+  return seats;
+}
+
+}  // namespace
+
+TokenShare::TokenShare(HostId self, Random* random, Counters* counters)
+    : m_self(std::move(self)), m_random(random), m_counters(counters) {}
+
+TokenShare::Bucket* TokenShare::Find(const WorkspaceId& workspace) {
+  const auto it = m_buckets.find(workspace);
+  return it == m_buckets.end() ? nullptr : &it->second;
+}
+
+void TokenShare::Update(const std::vector<RateLimit>& limits,
+                        const SeatView& seats, Instant now) {
+  // Tokens earned until now belong to the old seats.
+  for (auto& [name, bucket] : m_buckets) Refill(&bucket, now);
+  m_seats = seats;
+  std::set<WorkspaceId> present;
+  for (const auto& limit : limits) {
+    present.insert(limit.workspace);
+    auto& bucket = m_buckets[limit.workspace];
+    bucket.limit = limit;
+    SetSeats(&bucket, seats, now);
+  }
+  std::erase_if(m_buckets, [&](const auto& item) {
+    return present.count(item.first) == 0;
+  });
+}
+
+void TokenShare::SetSeats(Bucket* bucket, const SeatView& seats, Instant now) {
+  const auto spread = std::clamp<std::size_t>(
+      static_cast<std::size_t>(bucket->limit.burst / kMinTokensPerSeat), 1,
+      std::max<std::size_t>(seats.zones.size(), 1));
+  bucket->home =
+      RankSeats(bucket->limit.workspace, AllSeats(seats.zones.size()), spread);
+  std::vector<int> held;
+  for (const int seat : bucket->home) {
+    if (seats.Holds(seat)) held.push_back(seat);
+  }
+  std::size_t kept = 0;
+  for (const int seat : held) {
+    kept += static_cast<std::size_t>(
+        std::count(bucket->held.begin(), bucket->held.end(), seat));
+  }
+  const double per_seat = 1.0 / static_cast<double>(bucket->home.size());
+  const auto cap_of = [&](std::size_t count) {
+    return static_cast<MicroTokens>(bucket->limit.burst * per_seat *
+                                    static_cast<double>(count) *
+                                    kMicroPerToken);
+  };
+  bucket->held = held;
+  bucket->cap = cap_of(held.size());
+  bucket->refill_per_ns = bucket->limit.rate * per_seat *
+                          static_cast<double>(held.size()) * kMicroPerToken /
+                          1e9;
+  bucket->level = std::clamp<MicroTokens>(
+      bucket->level, 0,
+      std::max<MicroTokens>(cap_of(kept) - Reserved(bucket, now), 0));
+  bucket->refilled = now;
+}
+
+void TokenShare::Refill(Bucket* bucket, Instant now) const {
+  // Nothing accrues after the lease on the seats has lapsed.
+  const auto until = std::min(now, m_seats.valid_until);
+  if (until <= bucket->refilled) return;
+  const double earned =
+      bucket->remainder +
+      bucket->refill_per_ns *
+          static_cast<double>((until - bucket->refilled).count());
+  const auto whole = static_cast<MicroTokens>(std::floor(earned));
+  bucket->remainder = earned - static_cast<double>(whole);
+  bucket->refilled = until;
+  const auto room = bucket->cap - Reserved(bucket, now);
+  bucket->level =
+      std::max(bucket->level, std::min(bucket->level + whole, room));
+}
+
+MicroTokens TokenShare::Reserved(Bucket* bucket, Instant now) {
+  std::erase_if(bucket->reserved,
+                [&](const auto& item) { return item.until <= now; });
+  MicroTokens sum = 0;
+  for (const auto& item : bucket->reserved) sum += item.amount;
+  return sum;
+}
+
+bool TokenShare::TrySpend(const WorkspaceId& workspace, Instant now) {
+  auto* bucket = Find(workspace);
+  if (bucket == nullptr || !Usable(now)) return false;
+  Refill(bucket, now);
+  bucket->last_spend = now;
+  if (bucket->level < kMicroPerToken) return false;
+  bucket->level -= kMicroPerToken;
+  return true;
+}
+
+void TokenShare::Demand(const WorkspaceId& workspace, std::size_t waiting,
+                        Instant now) {
+  auto* bucket = Find(workspace);
+  if (bucket == nullptr || !Usable(now) || waiting == 0) return;
+  std::erase_if(bucket->asked, [&](const auto& item) {
+    return now - item.second.sent > kGrantLifetime;
+  });
+  std::set<HostId> candidates;
+  for (const int seat : bucket->home) {
+    const auto& holder = m_seats.holders[static_cast<std::size_t>(seat)];
+    if (holder.empty() || holder == m_self) continue;
+    if (bucket->peers[holder].next_ask <= now) candidates.insert(holder);
+  }
+  std::vector<HostId> order(candidates.begin(), candidates.end());
+  const auto missing = static_cast<MicroTokens>(waiting) * kMicroPerToken;
+  const auto wanted = std::min(missing, bucket->cap) - bucket->level;
+  if (wanted <= 0) return;
+  while (!order.empty() && bucket->asked.size() < kMaxAskedAtOnce) {
+    const auto pick = m_random->Below(order.size());
+    const HostId host = order[pick];
+    order.erase(order.begin() + static_cast<std::ptrdiff_t>(pick));
+    auto& peer = bucket->peers[host];
+    peer.next_ask = now + kGrantLifetime;
+    TokenRequest request{workspace, m_next_request++, wanted,
+                         std::exchange(peer.settled, {})};
+    bucket->asked[request.request_id] = {host, now};
+    m_out.push_back({host, std::move(request)});
+    m_counters->Add("tokens_requested");
+  }
+}
+
+Milliseconds TokenShare::RefillTime(const WorkspaceId& workspace) const {
+  const auto it = m_buckets.find(workspace);
+  constexpr Milliseconds kUnknown{1000};
+  if (it == m_buckets.end() || it->second.limit.rate <= 0) return kUnknown;
+  return Milliseconds(
+      static_cast<std::int64_t>(std::ceil(1000.0 / it->second.limit.rate)));
+}
+
+void TokenShare::Handle(const HostId& from, const TokenRequest& message,
+                        Instant now) {
+  TokenGrant grant{message.workspace, message.request_id, 0};
+  auto* bucket = Find(message.workspace);
+  if (bucket != nullptr && Usable(now)) {
+    std::erase_if(bucket->reserved, [&](const auto& item) {
+      return item.to == from &&
+             std::count(message.settled.begin(), message.settled.end(),
+                        item.request_id) > 0;
+    });
+    Refill(bucket, now);
+    const bool idle = now - bucket->last_spend > kIdleAfter;
+    const auto spare =
+        idle ? bucket->level
+             : std::max<MicroTokens>(bucket->level - kMicroPerToken, 0) / 2;
+    grant.granted = std::clamp<MicroTokens>(message.wanted, 0, spare);
+    if (grant.granted > 0) {
+      bucket->level -= grant.granted;
+      bucket->reserved.push_back({from, message.request_id, grant.granted,
+                                  now + WithDrift(kGrantLifetime)});
+      m_counters->Add("tokens_lent", static_cast<std::uint64_t>(grant.granted));
+    }
+  }
+  m_out.push_back({from, std::move(grant)});
+}
+
+std::optional<WorkspaceId> TokenShare::Handle(const HostId& from,
+                                              const TokenGrant& message,
+                                              Instant now) {
+  auto* bucket = Find(message.workspace);
+  if (bucket == nullptr) return std::nullopt;
+  const auto asked = bucket->asked.find(message.request_id);
+  // Also the second copy of a message that arrived before.
+  if (asked == bucket->asked.end() || asked->second.host != from) {
+    return std::nullopt;
+  }
+  const bool late = now - asked->second.sent > kGrantLifetime;
+  bucket->asked.erase(asked);
+  auto& peer = bucket->peers[from];
+  if (peer.settled.size() < kMaxSettledListed) {
+    peer.settled.push_back(message.request_id);
+  }
+  if (message.granted <= 0) {
+    peer.backoff =
+        std::clamp<Duration>(peer.backoff * 2, kMinBackoff, kMaxBackoff);
+    peer.next_ask = now + peer.backoff;
+    return std::nullopt;
+  }
+  peer.backoff = Duration{};
+  peer.next_ask = now;
+  if (late) {
+    m_counters->Add("tokens_lost_late");
+    return std::nullopt;
+  }
+  Refill(bucket, now);
+  const auto room = bucket->cap - Reserved(bucket, now) - bucket->level;
+  const auto accepted = std::clamp<MicroTokens>(message.granted, 0,
+                                                std::max<MicroTokens>(room, 0));
+  bucket->level += accepted;
+  m_counters->Add("tokens_borrowed", static_cast<std::uint64_t>(accepted));
+  return message.workspace;
+}
+
+std::vector<AddressedShareMessage> TokenShare::TakeMessages() {
+  return std::exchange(m_out, {});
+}
+
+MicroTokens TokenShare::Level(const WorkspaceId& workspace, Instant now) {
+  auto* bucket = Find(workspace);
+  if (bucket == nullptr || !Usable(now)) return 0;
+  Refill(bucket, now);
+  return bucket->level;
+}
+
+MicroTokens TokenShare::InFlight(const WorkspaceId& workspace, Instant now) {
+  auto* bucket = Find(workspace);
+  return bucket == nullptr ? 0 : Reserved(bucket, now);
+}
+
+MicroTokens TokenShare::Capacity(const WorkspaceId& workspace) const {
+  const auto it = m_buckets.find(workspace);
+  if (it == m_buckets.end()) return 0;
+  return static_cast<MicroTokens>(it->second.limit.burst * kMicroPerToken);
+}
+
+}  // namespace tiller::limits
--- /dev/null
+++ b/Source/Net/http_client.cc
@@ -0,0 +1,155 @@
+// Implementation of the HTTP client.
+#include "Net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace tiller::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kMaxIdlePerTarget = 4;
+constexpr std::uint64_t kMaxAnswerBytes = 64U << 20;
+
+std::optional<tcp::endpoint> ParseAuthority(const Authority& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code failure;
+  const auto address = asio::ip::make_address(text.substr(0, colon), failure);
+  std::uint16_t port = 0;
+  std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  if (failure || port == 0) return std::nullopt;
+  return tcp::endpoint(address, port);
+}
+
+}  // namespace
+
+struct HttpClient::Exchange {
+  Authority target;
+  HttpRequest request;
+  Milliseconds timeout{0};
+  Done done;
+  std::unique_ptr<Stream> stream;
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+};
+
+void HttpClient::Send(const Authority& target, HttpRequest request,
+                      Milliseconds timeout, Done done) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->target = target;
+  exchange->request = std::move(request);
+  exchange->request.set(http::field::host, target);
+  exchange->request.prepare_payload();
+  exchange->timeout = timeout;
+  exchange->done = std::move(done);
+  exchange->parser.body_limit(kMaxAnswerBytes);
+  auto& idle = m_idle[target];
+  while (!idle.empty()) {
+    exchange->stream = std::move(idle.back());
+    idle.pop_back();
+    // A connection that became readable while idle was closed by its peer.
+    error_code failure;
+    if (exchange->stream->socket().available(failure) == 0 && !failure) {
+      exchange->stream->socket().non_blocking(true, failure);
+      char probe = 0;
+      exchange->stream->socket().receive(asio::buffer(&probe, 1),
+                                         tcp::socket::message_peek, failure);
+      if (failure == asio::error::would_block) return Write(exchange);
+    }
+  }
+  Connect(exchange);
+}
+
+void HttpClient::Connect(const std::shared_ptr<Exchange>& exchange) {
+  const auto endpoint = ParseAuthority(exchange->target);
+  if (!endpoint) {
+    asio::post(*m_io, [this, exchange] {
+      Fail(exchange, ErrorCode::kConnectFailed, "bad address");
+    });
+    return;
+  }
+  exchange->stream = std::make_unique<Stream>(*m_io);
+  exchange->stream->expires_after(exchange->timeout);
+  exchange->stream->async_connect(
+      *endpoint, [this, exchange](const error_code& failure) {
+        if (failure) {
+          return Fail(exchange, ErrorCode::kConnectFailed, failure.message());
+        }
+        exchange->stream->socket().set_option(tcp::no_delay(true));
+        Write(exchange);
+      });
+}
+
+void HttpClient::Write(const std::shared_ptr<Exchange>& exchange) {
+  exchange->stream->expires_after(exchange->timeout);
+  http::async_write(
+      *exchange->stream, exchange->request,
+      [this, exchange](const error_code& failure, std::size_t) {
+        if (failure) {
+          return Fail(exchange, ErrorCode::kEndpointLost, failure.message());
+        }
+        http::async_read(
+            *exchange->stream, exchange->buffer, exchange->parser,
+            [this, exchange](const error_code& read_failure, std::size_t) {
+              if (read_failure) {
+                return Fail(exchange,
+                            read_failure == beast::error::timeout
+                                ? ErrorCode::kTimeout
+                                : ErrorCode::kEndpointLost,
+                            read_failure.message());
+              }
+              auto response = exchange->parser.release();
+              exchange->stream->expires_never();
+              auto& idle = m_idle[exchange->target];
+              if (response.keep_alive() && idle.size() < kMaxIdlePerTarget) {
+                idle.push_back(std::move(exchange->stream));
+              }
+              exchange->done(std::move(response));
+            });
+      });
+}
+
+void HttpClient::Fail(const std::shared_ptr<Exchange>& exchange, ErrorCode code,
+                      const std::string& detail) {
+  exchange->stream.reset();
+  exchange->done(MakeError(code, exchange->target + ": " + detail,
+                           code == ErrorCode::kConnectFailed
+                               ? RunOutcome::kNotRun
+                               : RunOutcome::kUnknown));
+}
+
+Result<HttpResponse> SendBlocking(const Authority& target, HttpRequest request,
+                                  Milliseconds timeout) {
+  asio::io_context io;
+  HttpClient client(&io);
+  std::optional<Result<HttpResponse>> out;
+  client.Send(target, std::move(request), timeout,
+              [&](Result<HttpResponse> result) {
+                out = std::move(result);
+                io.stop();
+              });
+  io.run();
+  if (!out) return MakeError(ErrorCode::kInternal, "no answer");
+  return *out;
+}
+
+HttpRequest MakeRequest(http::verb method, const std::string& target,
+                        std::string body) {
+  HttpRequest request(method, target, 11);
+  request.body() = std::move(body);
+  if (!request.body().empty()) {
+    request.set(http::field::content_type, "application/json");
+  }
+  return request;
+}
+
+}  // namespace tiller::net
--- /dev/null
+++ b/Source/Peer/peer_messages.cc
@@ -0,0 +1,215 @@
+// JSON form of the messages between hosts.
+#include "Peer/peer_messages.h"
+
+#include <array>
+#include <utility>
+
+#include "Common/json.h"
+#include "Common/names.h"
+
+namespace tiller::peer {
+namespace {
+
+// One row per alternative of Message, in order.
+constexpr std::array<std::string_view, std::variant_size_v<Message>> kKinds = {
+    "gossip",          "guard_request", "guard_ack",   "config_query",
+    "config_answer",   "config_fetch",  "config_body", "config_prepare",
+    "config_prepared", "token_request", "token_grant", "unit_request",
+    "unit_grant",      "unit_return",   "unit_recall"};
+
+constexpr Json::ArrayIndex kMaxListed = 2048;
+
+Json::UInt64 U(std::uint64_t value) { return value; }
+
+Json::Value ToJson(const MemberRecord& record) {
+  Json::Value out;
+  out["host"] = record.host;
+  out["address"] = record.address;
+  out["zone"] = record.zone;
+  out["heartbeat"] = U(record.heartbeat);
+  out["leaving"] = record.leaving;
+  out["config"] = U(record.config_version);
+  out["seats"] = record.seats;
+  return out;
+}
+
+MemberRecord MemberFrom(const Json::Value& json) {
+  return {StringOr(json, "host"),
+          StringOr(json, "address"),
+          StringOr(json, "zone"),
+          UintOr(json, "heartbeat"),
+          BoolOr(json, "leaving"),
+          UintOr(json, "config"),
+          static_cast<int>(UintOr(json, "seats"))};
+}
+
+Json::Value ToJson(const GroupRecord& record) {
+  Json::Value out;
+  out["group"] = record.group;
+  out["term"] = U(record.term);
+  out["primary"] = record.primary;
+  out["owner"] = record.owner;
+  return out;
+}
+
+GroupRecord GroupFrom(const Json::Value& json) {
+  return {StringOr(json, "group"), UintOr(json, "term"),
+          StringOr(json, "primary"), StringOr(json, "owner")};
+}
+
+void Put(const Gossip& message, Json::Value* out) {
+  for (const auto& member : message.members) {
+    (*out)["members"].append(ToJson(member));
+  }
+  for (const auto& group : message.groups) {
+    (*out)["groups"].append(ToJson(group));
+  }
+}
+void Get(const Json::Value& json, Gossip* message) {
+  for (const auto& member : json["members"]) {
+    message->members.push_back(MemberFrom(member));
+  }
+  for (const auto& group : json["groups"]) {
+    message->groups.push_back(GroupFrom(group));
+  }
+}
+
+template <typename Kind>
+concept HasNonce = requires(Kind message) {
+  message.nonce;
+};
+
+template <HasNonce Kind>
+void Put(const Kind& message, Json::Value* out) {
+  (*out)["nonce"] = U(message.nonce);
+  if constexpr (std::is_same_v<Kind, ConfigAnswer>) {
+    (*out)["version"] = U(message.version);
+    (*out)["age_ms"] =
+        U(static_cast<std::uint64_t>(message.confirmed_age.count()));
+    (*out)["change_prepared"] = message.change_prepared;
+  }
+}
+template <HasNonce Kind>
+void Get(const Json::Value& json, Kind* message) {
+  message->nonce = UintOr(json, "nonce");
+  if constexpr (std::is_same_v<Kind, ConfigAnswer>) {
+    message->version = UintOr(json, "version");
+    message->confirmed_age =
+        Milliseconds(static_cast<std::int64_t>(UintOr(json, "age_ms")));
+    message->change_prepared = BoolOr(json, "change_prepared");
+  }
+}
+
+void Put(const ConfigFetch&, Json::Value*) {}
+void Get(const Json::Value&, ConfigFetch*) {}
+void Put(const ConfigBody& message, Json::Value* out) {
+  (*out)["config"] = message.config;
+}
+void Get(const Json::Value& json, ConfigBody* message) {
+  message->config = json["config"];
+}
+
+void Put(const limits::TokenRequest& message, Json::Value* out) {
+  (*out)["workspace"] = message.workspace;
+  (*out)["request"] = U(message.request_id);
+  (*out)["wanted"] = Json::Int64(message.wanted);
+  for (const auto id : message.settled) (*out)["settled"].append(U(id));
+}
+void Get(const Json::Value& json, limits::TokenRequest* message) {
+  message->workspace = StringOr(json, "workspace");
+  message->request_id = UintOr(json, "request");
+  message->wanted = static_cast<limits::MicroTokens>(UintOr(json, "wanted"));
+  for (const auto& id : json["settled"]) {
+    if (id.isUInt64()) message->settled.push_back(id.asUInt64());
+  }
+}
+void Put(const limits::TokenGrant& message, Json::Value* out) {
+  (*out)["workspace"] = message.workspace;
+  (*out)["request"] = U(message.request_id);
+  (*out)["granted"] = Json::Int64(message.granted);
+}
+void Get(const Json::Value& json, limits::TokenGrant* message) {
+  message->workspace = StringOr(json, "workspace");
+  message->request_id = UintOr(json, "request");
+  message->granted = static_cast<limits::MicroTokens>(UintOr(json, "granted"));
+}
+void Put(const limits::UnitRequest& message, Json::Value* out) {
+  (*out)["resource"] = message.resource;
+  (*out)["request"] = U(message.request_id);
+  (*out)["renews"] = U(message.renews);
+}
+void Get(const Json::Value& json, limits::UnitRequest* message) {
+  *message = {StringOr(json, "resource"), UintOr(json, "request"),
+              UintOr(json, "renews")};
+}
+void Put(const limits::UnitGrant& message, Json::Value* out) {
+  (*out)["resource"] = message.resource;
+  (*out)["request"] = U(message.request_id);
+  (*out)["loan"] = U(message.loan_id);
+}
+void Get(const Json::Value& json, limits::UnitGrant* message) {
+  *message = {StringOr(json, "resource"), UintOr(json, "request"),
+              UintOr(json, "loan")};
+}
+template <typename Kind>
+concept LoanNotice = std::is_same_v<Kind, limits::UnitReturn> ||
+    std::is_same_v<Kind, limits::UnitRecall>;
+template <LoanNotice Kind>
+void Put(const Kind& message, Json::Value* out) {
+  (*out)["resource"] = message.resource;
+  (*out)["loan"] = U(message.loan_id);
+}
+template <LoanNotice Kind>
+void Get(const Json::Value& json, Kind* message) {
+  *message = {StringOr(json, "resource"), UintOr(json, "loan")};
+}
+
+// Calls Get for the alternative with the given index.
+template <std::size_t I = 0>
+Message DecodeKind(std::size_t index, const Json::Value& body) {
+  if constexpr (I < std::variant_size_v<Message>) {
+    if (index != I) return DecodeKind<I + 1>(index, body);
+    std::variant_alternative_t<I, Message> message;
+    Get(body, &message);
+    return message;
+  } else {
+    return Message{};
+  }
+}
+
+bool TooLong(const Json::Value& body) {
+  for (const auto* list : {"members", "groups", "settled"}) {
+    if (body.isMember(list) &&
+        (!body[list].isArray() || body[list].size() > kMaxListed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+Json::Value Encode(const Envelope& envelope) {
+  Json::Value out;
+  out["from"] = envelope.from;
+  out["address"] = envelope.from_address;
+  out["kind"] = std::string(kKinds[envelope.message.index()]);
+  Json::Value body(Json::objectValue);
+  std::visit([&](const auto& message) { Put(message, &body); },
+             envelope.message);
+  out["body"] = std::move(body);
+  return out;
+}
+
+Result<Envelope> Decode(const Json::Value& json) {
+  const auto kind = StringOr(json, "kind");
+  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    if (kKinds[i] != kind) continue;
+    if (!json["body"].isObject() || TooLong(json["body"])) break;
+    return Envelope{StringOr(json, "from"), StringOr(json, "address"),
+                    DecodeKind(i, json["body"])};
+  }
+  return MakeError(ErrorCode::kMessageInvalid, "unknown peer message");
+}
+
+}  // namespace tiller::peer
--- /dev/null
+++ b/Source/Peer/peer_messages.h
@@ -0,0 +1,89 @@
+// Messages between hosts, and their form as JSON-RPC parameters.
+#pragma once
+
+#include <json/json.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/error.h"
+#include "Common/types.h"
+#include "Config/config.h"
+#include "Limits/share_messages.h"
+
+namespace tiller::peer {
+
+// What one host says of itself; a higher heartbeat replaces a lower one.
+struct MemberRecord {
+  HostId host;
+  std::string address;  // control address
+  ZoneId zone;
+  std::uint64_t heartbeat = 0;
+  bool leaving = false;
+  config::ConfigVersion config_version = 0;
+  int seats = 0;
+};
+
+// The primary of a group in a term, and the host that promoted it.
+struct GroupRecord {
+  GroupId group;
+  Term term = 0;
+  EndpointId primary;
+  std::string owner;
+};
+
+struct Gossip {
+  std::vector<MemberRecord> members;
+  std::vector<GroupRecord> groups;
+};
+
+// Renews a seat holder's lease with its guard.
+struct GuardRequest {
+  std::uint64_t nonce = 0;
+};
+struct GuardAck {
+  std::uint64_t nonce = 0;
+};
+
+// Asks how recently the receiver confirmed its configuration.
+struct ConfigQuery {
+  std::uint64_t nonce = 0;
+};
+struct ConfigAnswer {
+  std::uint64_t nonce = 0;
+  config::ConfigVersion version = 0;
+  // Time since the platform confirmed `version` as the newest.
+  Milliseconds confirmed_age{0};
+  // A change is being accepted: an outage can't be assumed.
+  bool change_prepared = false;
+};
+struct ConfigFetch {};
+struct ConfigBody {
+  Json::Value config;
+};
+// First phase of a change of configuration.
+struct ConfigPrepare {
+  std::uint64_t nonce = 0;
+};
+struct ConfigPrepared {
+  std::uint64_t nonce = 0;
+};
+
+using Message =
+    std::variant<Gossip, GuardRequest, GuardAck, ConfigQuery, ConfigAnswer,
+                 ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
+                 limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
+                 limits::UnitGrant, limits::UnitReturn, limits::UnitRecall>;
+
+struct Envelope {
+  HostId from;
+  std::string from_address;
+  Message message;
+};
+
+Json::Value Encode(const Envelope& envelope);
+// Fails with kMessageInvalid.
+Result<Envelope> Decode(const Json::Value& json);
+
+}  // namespace tiller::peer
--- /dev/null
+++ b/Source/Postgres/pg_driver.cc
@@ -0,0 +1,361 @@
+// Implementation of the libpq driver.
+#include "Postgres/pg_driver.h"
+
+#include <libpq-fe.h>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <cstring>
+#include <utility>
+
+namespace tiller::postgres {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using endpoint::StepResult;
+using traffic::PipelineFailure;
+
+namespace {
+
+constexpr Milliseconds kConnectTimeout{2000};
+constexpr std::size_t kMaxAnswerBytes = 16U << 20;
+constexpr Oid kBoolOid = 16;
+constexpr Oid kInt8Oid = 20;
+constexpr Oid kInt2Oid = 21;
+constexpr Oid kInt4Oid = 23;
+constexpr Oid kFloat4Oid = 700;
+constexpr Oid kFloat8Oid = 701;
+
+endpoint::ColumnType TypeOf(Oid oid) {
+  switch (oid) {
+    case kBoolOid:
+      return endpoint::ColumnType::kBoolean;
+    case kInt2Oid:
+    case kInt4Oid:
+    case kInt8Oid:
+      return endpoint::ColumnType::kInteger;
+    case kFloat4Oid:
+    case kFloat8Oid:
+      return endpoint::ColumnType::kFloat;
+    default:
+      return endpoint::ColumnType::kText;
+  }
+}
+
+StepResult Convert(PGresult* result) {
+  StepResult out;
+  switch (PQresultStatus(result)) {
+    case PGRES_TUPLES_OK:
+    case PGRES_COMMAND_OK:
+    case PGRES_EMPTY_QUERY:
+      out.ok = true;
+      break;
+    case PGRES_PIPELINE_ABORTED:
+      out.skipped = true;
+      return out;
+    default: {
+      const char* state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+      const char* message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+      out.sqlstate = state == nullptr ? "" : state;
+      out.message = message == nullptr ? PQresultErrorMessage(result) : message;
+      return out;
+    }
+  }
+  const int columns = PQnfields(result);
+  for (int i = 0; i < columns; ++i) {
+    out.columns.push_back({PQfname(result, i), TypeOf(PQftype(result, i))});
+  }
+  const int rows = PQntuples(result);
+  out.rows.reserve(static_cast<std::size_t>(rows));
+  for (int row = 0; row < rows; ++row) {
+    auto& cells = out.rows.emplace_back();
+    cells.reserve(static_cast<std::size_t>(columns));
+    for (int i = 0; i < columns; ++i) {
+      if (PQgetisnull(result, row, i) != 0) {
+        cells.emplace_back();
+        continue;
+      }
+      cells.emplace_back(
+          std::string(PQgetvalue(result, row, i),
+                      static_cast<std::size_t>(PQgetlength(result, row, i))));
+    }
+  }
+  out.affected = std::strtoull(PQcmdTuples(result), nullptr, 10);
+  if (columns > 0) out.affected = 0;
+  return out;
+}
+
+std::size_t BytesOf(const StepResult& result) {
+  std::size_t bytes = 0;
+  for (const auto& row : result.rows) {
+    for (const auto& cell : row) bytes += cell ? cell->size() : 0;
+  }
+  return bytes;
+}
+
+}  // namespace
+
+class PgConnection : public std::enable_shared_from_this<PgConnection> {
+ public:
+  PgConnection(PgDriver* driver, traffic::ConnectionId id)
+      : m_driver(driver),
+        m_id(id),
+        m_descriptor(*driver->m_io),
+        m_timer(*driver->m_io) {}
+  ~PgConnection() { Destroy(); }
+
+  void Open(const std::string& address) {
+    const auto colon = address.rfind(':');
+    const std::string info = "hostaddr=" + address.substr(0, colon) +
+                             " port=" + address.substr(colon + 1) +
+                             " dbname=" + m_driver->m_database +
+                             " user=" + m_driver->m_user +
+                             " application_name=" + m_driver->m_application +
+                             " sslmode=disable gssencmode=disable";
+    m_connection = PQconnectStart(info.c_str());
+    if (m_connection == nullptr || PQstatus(m_connection) == CONNECTION_BAD) {
+      return OpenFailed();
+    }
+    m_timer.expires_after(kConnectTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code& stopped) {
+      if (!stopped && !self->m_open) self->OpenFailed();
+    });
+    WaitConnect(PGRES_POLLING_WRITING);
+  }
+
+  void Run(const traffic::RunPipeline& pipeline) {
+    m_generation = pipeline.generation;
+    m_results.clear();
+    m_expected = pipeline.steps.size();
+    m_syncs_left = 0;
+    m_bytes = 0;
+    m_empty_results = 0;
+    m_running = true;
+    m_sent = false;
+    if (!m_open || !SendSteps(pipeline.steps)) {
+      return Finish(m_sent ? PipelineFailure::kLost
+                           : PipelineFailure::kNotSent);
+    }
+    m_timer.expires_after(pipeline.timeout);
+    m_timer.async_wait([self = shared_from_this(),
+                        generation = m_generation](const error_code& stopped) {
+      if (stopped || !self->m_running || self->m_generation != generation) {
+        return;
+      }
+      self->Finish(PipelineFailure::kTimeout);
+    });
+    FlushOutput();
+  }
+
+  // Ends the connection without another report.
+  void Abandon() {
+    m_driver = nullptr;
+    m_running = false;
+    Destroy();
+  }
+
+ private:
+  void Destroy() {
+    error_code ignored;
+    m_timer.cancel(ignored);
+    // The socket belongs to libpq.
+    if (m_descriptor.is_open()) m_descriptor.release();
+    if (m_connection != nullptr) PQfinish(m_connection);
+    m_connection = nullptr;
+    m_open = false;
+  }
+
+  void Report(const traffic::Event& event) {
+    if (m_driver != nullptr) m_driver->m_report(event);
+  }
+
+  void OpenFailed() {
+    Destroy();
+    if (m_driver == nullptr) return;
+    // Never from within the caller's own call.
+    asio::post(*m_driver->m_io, [self = shared_from_this()] {
+      self->Report(traffic::ConnectionOpened{self->m_id, false});
+    });
+  }
+
+  void AttachSocket() {
+    if (m_descriptor.is_open()) m_descriptor.release();
+    m_descriptor.assign(PQsocket(m_connection));
+  }
+
+  void WaitConnect(PostgresPollingStatusType wanted) {
+    AttachSocket();
+    const auto kind = wanted == PGRES_POLLING_READING
+                          ? asio::posix::stream_descriptor::wait_read
+                          : asio::posix::stream_descriptor::wait_write;
+    m_descriptor.async_wait(
+        kind, [self = shared_from_this()](const error_code& failure) {
+          if (failure || self->m_connection == nullptr) return;
+          self->PollConnect();
+        });
+  }
+
+  void PollConnect() {
+    const auto status = PQconnectPoll(m_connection);
+    if (status == PGRES_POLLING_FAILED) return OpenFailed();
+    if (status != PGRES_POLLING_OK) return WaitConnect(status);
+    if (PQsetnonblocking(m_connection, 1) != 0 ||
+        PQenterPipelineMode(m_connection) != 1) {
+      return OpenFailed();
+    }
+    m_open = true;
+    error_code ignored;
+    m_timer.cancel(ignored);
+    AttachSocket();
+    WaitRead();
+    Report(traffic::ConnectionOpened{m_id, true});
+  }
+
+  bool SendSteps(const std::vector<endpoint::Step>& steps) {
+    m_sent = true;
+    for (const auto& step : steps) {
+      std::vector<const char*> values;
+      values.reserve(step.parameters.size());
+      for (const auto& cell : step.parameters) {
+        values.push_back(cell ? cell->c_str() : nullptr);
+      }
+      if (PQsendQueryParams(m_connection, step.sql.c_str(),
+                            static_cast<int>(values.size()), nullptr,
+                            values.data(), nullptr, nullptr, 0) != 1) {
+        return false;
+      }
+      if (!step.sync_after) continue;
+      if (PQpipelineSync(m_connection) != 1) return false;
+      ++m_syncs_left;
+    }
+    return true;
+  }
+
+  void FlushOutput() {
+    const int left = PQflush(m_connection);
+    if (left < 0) return Finish(PipelineFailure::kLost);
+    if (left == 0) return;
+    m_descriptor.async_wait(
+        asio::posix::stream_descriptor::wait_write,
+        [self = shared_from_this()](const error_code& failure) {
+          if (failure || self->m_connection == nullptr || !self->m_running) {
+            return;
+          }
+          self->FlushOutput();
+        });
+  }
+
+  void WaitRead() {
+    m_descriptor.async_wait(
+        asio::posix::stream_descriptor::wait_read,
+        [self = shared_from_this()](const error_code& failure) {
+          if (failure || self->m_connection == nullptr) return;
+          self->OnReadable();
+        });
+  }
+
+  void OnReadable() {
+    const auto self = shared_from_this();
+    if (PQconsumeInput(m_connection) != 1) {
+      if (m_running) return Finish(PipelineFailure::kLost);
+      Destroy();
+      return Report(traffic::ConnectionClosed{m_id});
+    }
+    while (m_running && PQisBusy(m_connection) == 0) {
+      PGresult* result = PQgetResult(m_connection);
+      // Null ends the results of one step; two in a row would mean that the
+      // exchange has no more results than were taken.
+      if (result == nullptr) {
+        if (++m_empty_results > 1) return Finish(PipelineFailure::kLost);
+        continue;
+      }
+      m_empty_results = 0;
+      const bool sync = PQresultStatus(result) == PGRES_PIPELINE_SYNC;
+      if (!sync) TakeResult(result);
+      PQclear(result);
+      if (m_bytes > kMaxAnswerBytes) return Finish(PipelineFailure::kLost);
+      if (sync && --m_syncs_left == 0) {
+        Finish(m_results.size() == m_expected ? PipelineFailure::kNone
+                                              : PipelineFailure::kLost);
+        break;
+      }
+    }
+    if (m_connection != nullptr) WaitRead();
+  }
+
+  void TakeResult(PGresult* result) {
+    m_results.push_back(Convert(result));
+    m_bytes += BytesOf(m_results.back());
+  }
+
+  void Finish(PipelineFailure failure) {
+    m_running = false;
+    error_code ignored;
+    m_timer.cancel(ignored);
+    const auto self = shared_from_this();
+    if (failure != PipelineFailure::kNone) Destroy();
+    traffic::PipelineDone done{m_id, m_generation, failure,
+                               std::move(m_results)};
+    m_results.clear();
+    if (m_driver == nullptr) return;
+    if (failure == PipelineFailure::kNone) return Report(done);
+    asio::post(*m_driver->m_io,
+               [self, done = std::move(done)] { self->Report(done); });
+  }
+
+  PgDriver* m_driver;
+  const traffic::ConnectionId m_id;
+  PGconn* m_connection = nullptr;
+  asio::posix::stream_descriptor m_descriptor;
+  asio::steady_timer m_timer;
+  bool m_open = false;
+  // State of the exchange in progress.
+  bool m_running = false;
+  bool m_sent = false;
+  traffic::Generation m_generation = 0;
+  std::size_t m_expected = 0;
+  int m_syncs_left = 0;
+  int m_empty_results = 0;
+  std::size_t m_bytes = 0;
+  std::vector<StepResult> m_results;
+};
+
+PgDriver::PgDriver(asio::io_context* io, std::string application,
+                   std::string database, std::string user, Report report)
+    : m_io(io),
+      m_application(std::move(application)),
+      m_database(std::move(database)),
+      m_user(std::move(user)),
+      m_report(std::move(report)) {}
+
+PgDriver::~PgDriver() {
+  for (const auto& [id, connection] : m_connections) connection->Abandon();
+}
+
+void PgDriver::Open(traffic::ConnectionId id, const std::string& address) {
+  auto connection = std::make_shared<PgConnection>(this, id);
+  m_connections[id] = connection;
+  connection->Open(address);
+}
+
+void PgDriver::Close(traffic::ConnectionId id) {
+  const auto it = m_connections.find(id);
+  if (it == m_connections.end()) return;
+  it->second->Abandon();
+  m_connections.erase(it);
+}
+
+void PgDriver::Run(const traffic::RunPipeline& pipeline) {
+  const auto it = m_connections.find(pipeline.connection);
+  if (it != m_connections.end()) return it->second->Run(pipeline);
+  asio::post(*m_io, [this, pipeline] {
+    m_report(traffic::PipelineDone{pipeline.connection,
+                                   pipeline.generation,
+                                   PipelineFailure::kNotSent,
+                                   {}});
+  });
+}
+
+}  // namespace tiller::postgres
--- /dev/null
+++ b/Source/Routing/endpoint_table.cc
@@ -0,0 +1,129 @@
+// Implementation of the endpoint table.
+#include "Routing/endpoint_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tiller::routing {
+namespace {
+
+constexpr std::size_t kMaxMarks = 1024;
+constexpr Milliseconds kMarkSpacing{50};
+constexpr int kFailuresBeforeAvoiding = 2;
+constexpr Milliseconds kAvoidFirst{250};
+constexpr int kMaxAvoidDoublings = 4;
+constexpr int kServiceTimeWeight = 8;
+
+}  // namespace
+
+void EndpointTable::Update(const config::Config& config) {
+  std::set<EndpointId> endpoints;
+  std::set<GroupId> groups;
+  for (const auto& group : config.groups) {
+    groups.insert(group.name);
+    auto& group_row = m_groups[group.name];
+    group_row.name = group.name;
+    group_row.endpoints.clear();
+    for (const auto& endpoint : group.endpoints) {
+      endpoints.insert(endpoint.name);
+      group_row.endpoints.push_back(endpoint.name);
+      auto& row = m_endpoints[endpoint.name];
+      const auto* zone = config.FindZone(endpoint.zone);
+      row.name = endpoint.name;
+      row.group = group.name;
+      row.zone = endpoint.zone;
+      row.address = endpoint.address;
+      row.accepts_work = !endpoint.draining && (zone == nullptr || !zone->out);
+    }
+  }
+  std::erase_if(m_endpoints, [&](const auto& item) {
+    return endpoints.count(item.first) == 0;
+  });
+  std::erase_if(m_groups, [&](const auto& item) {
+    return groups.count(item.first) == 0;
+  });
+}
+
+EndpointRow* EndpointTable::Find(const EndpointId& name) {
+  const auto it = m_endpoints.find(name);
+  return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+GroupRow* EndpointTable::FindGroup(const GroupId& name) {
+  const auto it = m_groups.find(name);
+  return it == m_groups.end() ? nullptr : &it->second;
+}
+
+const EndpointRow* EndpointTable::Find(const EndpointId& name) const {
+  const auto it = m_endpoints.find(name);
+  return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+const GroupRow* EndpointTable::FindGroup(const GroupId& name) const {
+  const auto it = m_groups.find(name);
+  return it == m_groups.end() ? nullptr : &it->second;
+}
+
+void EndpointTable::Observe(const EndpointId& name,
+                            const endpoint::EndpointStatus& status,
+                            Instant now) {
+  auto* row = Find(name);
+  if (row == nullptr) return;
+  row->status = status;
+  row->status_known = true;
+  row->heard = now;
+  row->failures = 0;
+  row->avoid_until = Instant{};
+  if (status.role == endpoint::Role::kPrimary) {
+    AdoptPrimary(row->group, status.term, name);
+  }
+}
+
+void EndpointTable::ObserveFailure(const EndpointId& name, Instant now) {
+  auto* row = Find(name);
+  if (row == nullptr) return;
+  ++row->failures;
+  if (row->failures < kFailuresBeforeAvoiding) return;
+  const int doublings =
+      std::min(row->failures - kFailuresBeforeAvoiding, kMaxAvoidDoublings);
+  row->avoid_until = now + kAvoidFirst * (1 << doublings);
+}
+
+void EndpointTable::ObserveServiceTime(const EndpointId& name, Duration took) {
+  auto* row = Find(name);
+  if (row == nullptr) return;
+  row->service_time += (took - row->service_time) / kServiceTimeWeight;
+}
+
+bool EndpointTable::AdoptPrimary(const GroupId& group, Term term,
+                                 const EndpointId& primary) {
+  auto* row = FindGroup(group);
+  if (row == nullptr || term <= row->term) return false;
+  row->term = term;
+  row->primary = primary;
+  return true;
+}
+
+void EndpointTable::AddMark(const GroupId& group, FreshnessMark mark) {
+  auto* row = FindGroup(group);
+  if (row == nullptr) return;
+  if (!row->marks.empty() && mark.at - row->marks.back().at < kMarkSpacing) {
+    return;
+  }
+  row->marks.push_back(mark);
+  if (row->marks.size() > kMaxMarks) row->marks.pop_front();
+}
+
+std::optional<Duration> EndpointTable::AgeOf(const EndpointRow& row,
+                                             Instant now) const {
+  const auto* group = FindGroup(row.group);
+  if (group == nullptr || !row.status_known) return std::nullopt;
+  for (auto mark = group->marks.rbegin(); mark != group->marks.rend(); ++mark) {
+    if (row.status.term < mark->position.term) continue;
+    if (row.status.applied < mark->position.position) continue;
+    return now - mark->at;
+  }
+  return std::nullopt;
+}
+
+}  // namespace tiller::routing
--- /dev/null
+++ b/Source/Traffic/traffic_core.h
@@ -0,0 +1,171 @@
+// The traffic part of the decision library: admits, routes, runs, retries and
+// answers callers' requests. No I/O: events go in, actions come out, and the
+// same inputs give the same outputs. One thread uses an instance.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Common/counters.h"
+#include "Common/random.h"
+#include "Limits/fair_queue.h"
+#include "Limits/retry_budget.h"
+#include "Limits/token_share.h"
+#include "Limits/unit_lease.h"
+#include "Routing/endpoint_table.h"
+#include "Routing/read_router.h"
+#include "Sql/statement_class.h"
+#include "Traffic/connection_pool.h"
+#include "Traffic/request_state.h"
+#include "Traffic/traffic_messages.h"
+#include "Traffic/transaction_state.h"
+
+namespace tiller::traffic {
+
+struct TrafficOptions {
+  HostId host;
+  ZoneId zone;
+  Milliseconds default_deadline{5'000};
+  Milliseconds max_deadline{60'000};
+  Milliseconds default_max_staleness{2'000};
+  Milliseconds token_wait{300};       // before a rate refusal
+  Milliseconds replica_patience{20};  // before a read goes to the primary
+  Milliseconds read_timeout{400};     // of one attempt
+  Milliseconds keyed_write_timeout{1'000};
+  Milliseconds confirm_limit{500};  // of one wait for a majority
+  Milliseconds probe_interval{200};
+  Milliseconds probe_timeout{400};
+  Milliseconds transaction_idle{10'000};
+  Milliseconds transaction_total{60'000};
+  std::chrono::seconds record_retention{86'400};
+  std::size_t queue_capacity = 512;  // per endpoint
+  std::size_t workspace_queue_capacity = 128;
+};
+
+class TrafficCore {
+ public:
+  TrafficCore(TrafficOptions options, const Clock* clock, Random* random,
+              Counters* counters);
+
+  void Handle(const Event& event);
+  std::vector<Action> TakeActions();
+
+  std::size_t OpenRequests() const { return m_requests.size(); }
+  std::size_t OpenTransactions() const { return m_transactions.Size(); }
+  // For checks only.
+  const routing::EndpointTable& Endpoints() const { return m_endpoints; }
+  limits::TokenShare& Tokens() { return m_tokens; }
+  limits::UnitLease& Units() { return m_units; }
+
+ private:
+  // Admission.
+  void On(const CallerRequest& call);
+  void On(const PipelineDone& done);
+  void On(const ConnectionOpened& opened);
+  void On(const ConnectionClosed& closed);
+  void On(const ViewChanged& changed);
+  void On(const ShareMessageArrived& arrived);
+  void On(const TimerFired& timer);
+
+  Result<void> Admit(Request* request);
+  Result<void> Authenticate(Request* request);
+  Result<void> CheckStatements(Request* request);
+  Result<void> BindWorkspace(Request* request, const WorkspaceId& workspace);
+  void SpendToken(Request* request);
+  void PumpTokens(const WorkspaceId& workspace);
+
+  // Routing and queues.
+  void Route(Request* request);
+  void RouteToPrimary(Request* request);
+  void RouteRead(Request* request);
+  void WaitForRoute(Request* request, Duration delay);
+  void Enqueue(Request* request, const EndpointId& endpoint);
+  void Pump(const EndpointId& endpoint);
+  void Dispatch(Request* request, Connection* connection);
+  Plan PlanFor(Request* request);
+  PlanKind KindOf(const Request& request) const;
+  Duration AttemptTimeout(const Request& request, Instant now) const;
+  void RerouteAfterTermChange(const GroupId& group);
+
+  // Results and retries.
+  void OnResults(Request* request, Connection* connection,
+                 const std::vector<endpoint::StepResult>& results);
+  void OnAttemptFailed(Request* request, PipelineFailure failure);
+  void OnReadResults(Request* request, Connection* connection,
+                     const std::vector<endpoint::StepResult>& results);
+  void OnWriteResults(Request* request, Connection* connection,
+                      const std::vector<endpoint::StepResult>& results);
+  void OnClaimResults(Request* request, Connection* connection,
+                      const std::vector<endpoint::StepResult>& results);
+  void OnRecordResults(Request* request, Connection* connection,
+                       const std::vector<endpoint::StepResult>& results);
+  void OnConfirmResult(Request* request, Connection* connection,
+                       const endpoint::StepResult& result);
+  void FinishCommitted(Request* request, GroupPosition position);
+  void RetryOrRefuse(Request* request, ErrorCode reason);
+  bool RefusedByEndpoint(Request* request, Connection* connection,
+                         const endpoint::StepResult& result);
+  RunOutcome OutcomeSoFar(const Request& request) const;
+
+  // Interactive transactions.
+  void StartTransactionCall(Request* request);
+  void ResolveLostCommit(Request* request, Error error);
+  void OnTransactionResults(Request* request, Connection* connection,
+                            const std::vector<endpoint::StepResult>& results);
+  void FinishTransactionCall(Request* request, Connection* connection,
+                             const std::string& body);
+  void EndTransaction(const std::string& id, std::string_view reason);
+  void TickTransactions(Instant now);
+
+  // Connections.
+  void RunOn(Connection* connection, Request* request, Plan plan,
+             Duration timeout);
+  void Reset(Connection* connection);
+  void Close(ConnectionId id, bool failed);
+  void GiveBack(Request* request, Connection* connection);
+  void ReleaseUnit(Request* request);
+  void SuspectEndpoint(const EndpointId& endpoint);
+  void OnProbeResults(Connection* connection,
+                      const std::vector<endpoint::StepResult>& results);
+  void TickProbes(Instant now);
+  void Observe(const EndpointId& endpoint, const endpoint::StepResult& status);
+
+  // Answers.
+  void Succeed(Request* request, std::string body);
+  void Refuse(Request* request, Error error);
+  void TickRequests(Instant now);
+  void FlushShareMessages();
+
+  Request* Find(RequestId id);
+  Instant Now() const { return m_clock->Now(); }
+  limits::FairQueue& QueueOf(const EndpointId& endpoint);
+
+  const TrafficOptions m_options;
+  const Clock* const m_clock;
+  Random* const m_random;
+  Counters* const m_counters;
+
+  TrafficViewPtr m_view;
+  routing::EndpointTable m_endpoints;
+  routing::ReadRouter m_router;
+  ConnectionPool m_pool;
+  limits::TokenShare m_tokens;
+  limits::UnitLease m_units;
+  limits::RetryBudget m_retries;
+  sql::ClassCache m_classes;
+  TransactionTable m_transactions;
+  // Requests without an answer yet.
+  std::unordered_map<RequestId, Request> m_requests;
+  // Requests in stage kAwaitTokens, in order of arrival.
+  std::unordered_map<WorkspaceId, std::deque<RequestId>> m_token_waiters;
+  // Requests in stage kQueued, per endpoint.
+  std::unordered_map<EndpointId, limits::FairQueue> m_queues;
+  std::unordered_map<EndpointId, Instant> m_next_probe;
+  std::vector<Action> m_actions;
+};
+
+}  // namespace tiller::traffic
