--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxIdlePerTarget = 4;
 constexpr std::uint64_t kMaxAnswerBytes = 64U << 20;
 
 std::optional<tcp::endpoint> ParseAuthority(const Authority& text) {
@@ -110,7 +109,7 @@
               auto response = exchange->parser.release();
               exchange->stream->expires_never();
               auto& idle = m_idle[exchange->target];
-              if (response.keep_alive() && idle.size() < kMaxIdlePerTarget) {
+              if (response.keep_alive() && idle.size() < m_max_idle) {
                 idle.push_back(std::move(exchange->stream));
               }
               exchange->done(std::move(response));
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -21,7 +21,10 @@
  public:
   using Done = std::function<void(Result<HttpResponse>)>;
 
-  explicit HttpClient(boost::asio::io_context* io) : m_io(io) {}
+  static constexpr std::size_t kDefaultIdlePerTarget = 4;
+  explicit HttpClient(boost::asio::io_context* io,
+                      std::size_t max_idle_per_target = kDefaultIdlePerTarget)
+      : m_io(io), m_max_idle(max_idle_per_target) {}
 
   // Calls `done` once, with kConnectFailed if nothing was sent, else with
   // kTimeout or kEndpointLost when no whole answer came.
@@ -37,6 +40,7 @@
   using Stream = boost::beast::tcp_stream;
 
   boost::asio::io_context* const m_io;
+  const std::size_t m_max_idle;
   std::map<Authority, std::vector<std::unique_ptr<Stream>>> m_idle;
 };
 
