Route reads by the answer's own position; reroute what a dead primary holds

Cause: a read whose session had just written found no replica known to hold its position, waited 20 ms and went to the primary; strict reads waited in vain; and requests queued at a dead endpoint stayed there until their deadline. Ruled out: slower replicas (their lag was 2 ms) and lack of slots (p50 did not change). Change: a replica not known to have the position is tried once a read is older than the replica's catch-up estimate, and the answer's status decides; reads with a bound under the patience go to the primary at once; queued reads leave an endpoint that stopped answering. The report's failover gap now counts from the first write that failed or waited, not between arrivals of a slow workspace.

--- a/Source/Load/load_report.cc
+++ b/Source/Load/load_report.cc
@@ -24,8 +24,8 @@
 
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0;
-  const auto index = static_cast<std::size_t>(
-      share * static_cast<double>(values.size() - 1));
+  const auto index =
+      static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
   std::nth_element(values.begin(),
                    values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
@@ -42,6 +42,10 @@
     ++bucket.refused;
     if (outcome.ran == RunOutcome::kUnknown) ++row.unknown;
     if (outcome.error == "rate_exceeded") ++row.refused_rate;
+    if (outcome.operation == Operation::kWrite) {
+      row.oldest_failed_write = std::min(
+          row.oldest_failed_write.value_or(outcome.intended), outcome.intended);
+    }
     return;
   }
   row.latencies_ms.push_back(ToMs(outcome.latency));
@@ -53,12 +57,13 @@
   }
   if (outcome.operation != Operation::kWrite) return;
   ++bucket.writes;
-  const auto at = outcome.intended + outcome.latency;
-  if (at - row.last_write > row.longest_write_gap && row.last_write.count() > 0) {
-    row.longest_write_gap = at - row.last_write;
-    row.gap_began = row.last_write;
-  }
-  row.last_write = std::max(row.last_write, at);
+  const auto began = std::min(
+      row.oldest_failed_write.value_or(outcome.intended), outcome.intended);
+  row.oldest_failed_write.reset();
+  const auto gap = outcome.intended + outcome.latency - began;
+  if (gap <= row.longest_write_gap) return;
+  row.longest_write_gap = gap;
+  row.gap_began = began;
 }
 
 void LoadReport::AddBreach(Breach breach, const std::string& detail) {
--- a/Source/Load/load_report.h
+++ b/Source/Load/load_report.h
@@ -4,6 +4,7 @@
 #include <json/json.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,8 +42,9 @@
     std::uint64_t refused_rate = 0;
     std::map<std::string, std::uint64_t> errors;
     std::vector<double> latencies_ms;
-    // Longest time between acknowledged writes, and the last one's time.
-    Duration last_write{};
+    // Start of the oldest write that failed since the last acknowledged one.
+    std::optional<Duration> oldest_failed_write;
+    // Longest time from a write's intended start to the next acknowledgement.
     Duration longest_write_gap{};
     Duration gap_began{};
   };
--- a/Source/Load/load_runner.cc
+++ b/Source/Load/load_runner.cc
@@ -131,8 +131,8 @@
 LoadRunner::Session* LoadRunner::TakeSession(std::size_t workspace) {
   auto& idle = m_idle[workspace];
   if (!idle.empty()) {
-    const auto pick = static_cast<std::size_t>(
-        Uniform() * static_cast<double>(idle.size()));
+    const auto pick =
+        static_cast<std::size_t>(Uniform() * static_cast<double>(idle.size()));
     std::swap(idle[pick], idle.back());
     auto* session = idle.back();
     idle.pop_back();
@@ -192,8 +192,8 @@
   Json::Value body;
   body["deadline_ms"] = Json::Int64(m_options.deadline.count());
   auto& parameters = body["parameters"] = Json::Value(Json::arrayValue);
-  const auto trip = "trip-" + std::to_string(std::hash<std::string>()(id) %
-                                             kTrips);
+  const auto trip =
+      "trip-" + std::to_string(std::hash<std::string>()(id) % kTrips);
   switch (attempt.operation) {
     case Operation::kWrite:
       body["statement"] = session.model->MustCreate() ? sql.create : sql.change;
@@ -253,8 +253,8 @@
   outcome.workspace = session->model->Workspace();
   outcome.intended = attempt->intended - m_start;
   outcome.latency = std::chrono::steady_clock::now() - attempt->intended;
-  const auto body =
-      answer ? ParseJson(answer.value().body()) : Result<Json::Value>(answer.error());
+  const auto body = answer ? ParseJson(answer.value().body())
+                           : Result<Json::Value>(answer.error());
   outcome.answered = answer && body && answer.value().result_int() == 200;
   if (outcome.answered) {
     session->token = std::string(answer.value()["Tiller-Session"]);
@@ -265,10 +265,10 @@
     } else if (attempt->operation != Operation::kListRead) {
       breach = session->model->CheckRead(body.value());
     }
-    m_report.AddBreach(breach, session->model->Id() + " " +
-                                   std::string(NameOf(kOperationNames,
-                                                      attempt->operation)) +
-                                   " " + answer.value().body());
+    m_report.AddBreach(
+        breach, session->model->Id() + " " +
+                    std::string(NameOf(kOperationNames, attempt->operation)) +
+                    " " + answer.value().body());
   } else {
     outcome.error = body ? StringOr(body.value(), "code", "no_answer")
                          : std::string(NameOf(body.error().code));
@@ -287,10 +287,9 @@
   m_report.Add(outcome);
   // A session whose first write is in doubt can't know which statement comes
   // next; it stays aside until the final check.
-  const bool in_doubt = attempt->operation == Operation::kWrite &&
-                        !outcome.answered &&
-                        outcome.ran == RunOutcome::kUnknown &&
-                        session->model->MustCreate();
+  const bool in_doubt =
+      attempt->operation == Operation::kWrite && !outcome.answered &&
+      outcome.ran == RunOutcome::kUnknown && session->model->MustCreate();
   if (!in_doubt) m_idle[session->workspace].push_back(session);
 }
 
@@ -300,8 +299,7 @@
     m_client.Send(m_options.controls[i], net::MakeRequest(verb::get, "/ready"),
                   kReadyTimeout,
                   [this, i](const Result<net::HttpResponse>& answer) {
-                    m_ready[i] =
-                        answer && answer.value().result_int() == 200;
+                    m_ready[i] = answer && answer.value().result_int() == 200;
                   });
   }
   m_ready_timer->expires_after(kReadyInterval);
@@ -350,10 +348,10 @@
           });
         }
         --m_in_flight;
-        m_report.AddBreach(Breach::kLostWrite,
-                           session->model->Id() + " final: no answer " +
-                               (answer ? answer.value().body()
-                                       : answer.error().detail));
+        m_report.AddBreach(
+            Breach::kLostWrite,
+            session->model->Id() + " final: no answer " +
+                (answer ? answer.value().body() : answer.error().detail));
       });
 }
 
@@ -362,8 +360,7 @@
   std::size_t waiting = m_options.controls.size();
   for (const auto& control : m_options.controls) {
     m_client.Send(control, net::MakeRequest(verb::get, "/metrics"),
-                  kReadyTimeout,
-                  [&](const Result<net::HttpResponse>& answer) {
+                  kReadyTimeout, [&](const Result<net::HttpResponse>& answer) {
                     --waiting;
                     if (!answer) return;
                     std::istringstream lines(answer.value().body());
--- a/Source/Load/session_model.h
+++ b/Source/Load/session_model.h
@@ -16,15 +16,15 @@
 
 enum class Breach {
   kNone,
-  kReadYourWrites,   // an acknowledged write is not seen
-  kRunTwice,         // more writes ran than were sent or admitted to have run
-  kWrongWorkspace,   // the row belongs to another workspace
-  kWrongAnswer,      // another session's row, or another shape
-  kLostWrite         // an acknowledged write is gone at the end
+  kReadYourWrites,  // an acknowledged write is not seen
+  kRunTwice,        // more writes ran than were sent or admitted to have run
+  kWrongWorkspace,  // the row belongs to another workspace
+  kWrongAnswer,     // another session's row, or another shape
+  kLostWrite        // an acknowledged write is gone at the end
 };
 inline constexpr std::array<std::string_view, 6> kBreachNames = {
-    "none",            "read_your_writes", "run_twice",
-    "wrong_workspace", "wrong_answer",     "lost_write"};
+    "none",         "read_your_writes", "run_twice", "wrong_workspace",
+    "wrong_answer", "lost_write"};
 
 enum class Operation { kWrite, kRead, kStrictRead, kListRead };
 inline constexpr std::array<std::string_view, 4> kOperationNames = {
--- a/Source/Routing/endpoint_table.cc
+++ b/Source/Routing/endpoint_table.cc
@@ -13,6 +13,8 @@
 constexpr Milliseconds kAvoidFirst{250};
 constexpr int kMaxAvoidDoublings = 4;
 constexpr int kServiceTimeWeight = 8;
+constexpr Duration kCatchUpStep = Milliseconds(1);
+constexpr Duration kMaxCatchUp = Milliseconds(64);
 
 }  // namespace
 
@@ -89,6 +91,14 @@
   row->avoid_until = now + kAvoidFirst * (1 << doublings);
 }
 
+void EndpointTable::ObserveReached(const EndpointId& name, bool reached) {
+  auto* row = Find(name);
+  if (row == nullptr) return;
+  row->catch_up =
+      reached ? row->catch_up * 7 / 8
+              : std::clamp(row->catch_up * 2, kCatchUpStep, kMaxCatchUp);
+}
+
 void EndpointTable::ObserveServiceTime(const EndpointId& name, Duration took) {
   auto* row = Find(name);
   if (row == nullptr) return;
--- a/Source/Routing/endpoint_table.h
+++ b/Source/Routing/endpoint_table.h
@@ -30,6 +30,9 @@
   Instant avoid_until{};
   // Statements sent or queued by this host.
   std::size_t load = 0;
+  // A replica not known to have reached a position is tried once a read has
+  // waited this long; the answer's own position decides.
+  Duration catch_up{};
   // Moving mean of the time one statement takes.
   Duration service_time = Milliseconds(2);
 };
@@ -62,6 +65,8 @@
   void Observe(const EndpointId& name, const endpoint::EndpointStatus& status,
                Instant now);
   void ObserveFailure(const EndpointId& name, Instant now);
+  // A read came back from a replica: it had reached the position, or not.
+  void ObserveReached(const EndpointId& name, bool reached);
   void ObserveServiceTime(const EndpointId& name, Duration took);
   // Adopts a primary; an older term than the known one is ignored.
   bool AdoptPrimary(const GroupId& group, Term term, const EndpointId& primary);
--- a/Source/Routing/read_router.cc
+++ b/Source/Routing/read_router.cc
@@ -41,20 +41,25 @@
 }
 
 ReadChoice ReadRouter::Choose(const EndpointTable& table,
-                              const ReadNeeds& needs, Duration patience,
-                              Instant now) const {
+                              const ReadNeeds& needs, Duration waited,
+                              Duration patience, Instant now) const {
   const auto* group = table.FindGroup(needs.group);
   if (group == nullptr) return {};
   const EndpointRow* best = nullptr;
+  const EndpointRow* likely = nullptr;
   bool may_catch_up = false;
   for (const auto& name : group->endpoints) {
     const auto* row = table.Find(name);
     if (row == nullptr) continue;
     if (!Qualifies(table, *row, needs, now)) {
-      may_catch_up |= IsReachable(*row, now) &&
-                      row->status.role == endpoint::Role::kReplica &&
-                      needs.excluded.count(name) == 0 &&
-                      row->status.received >= needs.seen.position;
+      const bool may = IsReachable(*row, now) &&
+                       row->status.role == endpoint::Role::kReplica &&
+                       needs.excluded.count(name) == 0;
+      may_catch_up |= may;
+      if (may && waited >= row->catch_up &&
+          (likely == nullptr || Cost(*row) < Cost(*likely))) {
+        likely = row;
+      }
       continue;
     }
     if (best == nullptr || Cost(*row) < Cost(*best)) best = row;
@@ -69,6 +74,11 @@
     }
     return {ReadTarget::kReplica, best->name};
   }
+  // What is known of a replica is as old as its last answer. It has probably
+  // moved on, and the read's own answer will tell for certain.
+  if (likely != nullptr && patience > Duration::zero()) {
+    return {ReadTarget::kReplica, likely->name};
+  }
   if (may_catch_up && patience > Duration::zero()) {
     return {ReadTarget::kWait, {}};
   }
--- a/Source/Routing/read_router.h
+++ b/Source/Routing/read_router.h
@@ -28,9 +28,10 @@
  public:
   explicit ReadRouter(ZoneId own_zone) : m_own_zone(std::move(own_zone)) {}
 
-  // kWait: no endpoint qualifies now, but a replica should within `patience`.
+  // `waited` is the read's age, `patience` what is left before it should go
+  // to the primary. kWait: no endpoint qualifies now, but a replica may soon.
   ReadChoice Choose(const EndpointTable& table, const ReadNeeds& needs,
-                    Duration patience, Instant now) const;
+                    Duration waited, Duration patience, Instant now) const;
 
   // True when the row may serve the read by what is known of it. The answer
   // itself is checked again against the position that came with it.
--- a/Source/Traffic/request_state.h
+++ b/Source/Traffic/request_state.h
@@ -36,6 +36,7 @@
   ConnectionId connection = 0;
   PlanKind plan = PlanKind::kReplicaRead;
   PlanLayout layout;
+  Instant queued;
   Instant dispatched;
   Term term = 0;  // expected by the current attempt
   int attempts = 0;
--- a/Source/Traffic/retry_flow.cc
+++ b/Source/Traffic/retry_flow.cc
@@ -123,8 +123,10 @@
         row == nullptr ? std::nullopt : m_endpoints.AgeOf(*row, Now());
     if (!holds_seen || !age || *age > request->max_age) {
       m_counters->Add("retry_replica_behind");
+      m_endpoints.ObserveReached(name, false);
       return WaitForRoute(request, Milliseconds(1));
     }
+    m_endpoints.ObserveReached(name, true);
     const auto after = endpoint::ParseStatus(At(results, layout.status_after));
     const auto& last = after ? after.value() : status.value();
     reached = {last.term, last.applied};
--- a/Source/Traffic/route_flow.cc
+++ b/Source/Traffic/route_flow.cc
@@ -66,11 +66,16 @@
     }
   }
   const auto waited = Now() - request->arrived;
+  // A bound this tight can't be proved for a replica, so nothing is gained by
+  // waiting for one.
+  const bool fresh = request->max_age < m_options.replica_patience;
   const auto patience =
       std::min<Duration>(m_options.replica_patience,
                          (request->deadline - request->arrived) / 2) -
       waited;
-  const auto choice = m_router.Choose(m_endpoints, needs, patience, Now());
+  const auto usable_patience = fresh ? Duration::zero() : patience;
+  const auto choice =
+      m_router.Choose(m_endpoints, needs, waited, usable_patience, Now());
   switch (choice.kind) {
     case routing::ReadTarget::kReplica:
     case routing::ReadTarget::kPrimary:
@@ -112,6 +117,7 @@
   }
   request->stage = RequestStage::kQueued;
   request->endpoint = endpoint;
+  request->queued = Now();
   if (pushed.evicted) {
     if (auto* victim = Find(*pushed.evicted)) {
       m_counters->Add("queue_evictions");
--- a/Source/Traffic/traffic_core.cc
+++ b/Source/Traffic/traffic_core.cc
@@ -301,7 +301,8 @@
   std::vector<RequestId> due;
   for (const auto& [id, request] : m_requests) {
     const bool waits = request.stage == RequestStage::kAwaitRoute;
-    if (now >= request.deadline || (waits && now >= request.not_before)) {
+    if (now >= request.deadline || (waits && now >= request.not_before) ||
+        IsStuckInQueue(request, now)) {
       due.push_back(id);
     }
   }
@@ -310,6 +311,7 @@
     auto* request = Find(id);
     if (request == nullptr) continue;
     if (now < request->deadline) {
+      if (request->stage == RequestStage::kQueued) LeaveQueue(request);
       Route(request);
       continue;
     }
@@ -326,6 +328,20 @@
   }
 }
 
+// A read queued at an endpoint that stopped answering can go elsewhere.
+bool TrafficCore::IsStuckInQueue(const Request& request, Instant now) const {
+  if (request.stage != RequestStage::kQueued || request.writes) return false;
+  const auto* row = m_endpoints.Find(request.endpoint);
+  return row == nullptr || now < row->avoid_until ||
+         now - request.queued > m_options.read_timeout;
+}
+
+void TrafficCore::LeaveQueue(Request* request) {
+  m_counters->Add("retry_left_queue");
+  QueueOf(request->endpoint).Remove(request->workspace, request->call.id);
+  request->excluded.insert(request->endpoint);
+}
+
 RunOutcome TrafficCore::OutcomeSoFar(const Request& request) const {
   if (request.effect_possible) return RunOutcome::kUnknown;
   // A read that was sent may have run, although without any effect.
--- a/Source/Traffic/traffic_core.h
+++ b/Source/Traffic/traffic_core.h
@@ -138,6 +138,8 @@
   void Succeed(Request* request, std::string body);
   void Refuse(Request* request, Error error);
   void TickRequests(Instant now);
+  bool IsStuckInQueue(const Request& request, Instant now) const;
+  void LeaveQueue(Request* request);
   void FlushShareMessages();
 
   Request* Find(RequestId id);
