--- a/Source/Control/failover.cc
+++ b/Source/Control/failover.cc
@@ -26,6 +26,7 @@
 constexpr Milliseconds kStrayPatience{300};
 constexpr Milliseconds kRepairInterval{1'000};
 constexpr Milliseconds kPlannedPatience{500};
+constexpr Milliseconds kPlannedRetry{1'000};
 
 }  // namespace
 
@@ -194,14 +195,15 @@
   }
   const auto primary = group.endpoints.find(group.record.primary);
   if (primary != group.endpoints.end() && Excluded(primary->second)) {
-    const auto others = std::count_if(
-        group.endpoints.begin(), group.endpoints.end(), [&](const auto& item) {
-          return !Excluded(item.second) && item.second.known &&
-                 now - item.second.heard < kReportLifetime;
-        });
-    if (static_cast<std::size_t>(others) >= MajorityOf(group)) {
-      return "primary_leaves";
+    std::size_t reachable = 0;
+    std::size_t serving = 0;
+    for (const auto& [name, row] : group.endpoints) {
+      if (!row.known || now - row.heard >= kReportLifetime) continue;
+      ++reachable;
+      if (!Excluded(row)) ++serving;
     }
+    // An endpoint that leaves may still promise and hold entries.
+    if (serving > 0 && reachable >= MajorityOf(group)) return "primary_leaves";
   }
   // A failed attempt left a promise behind that keeps a replica out.
   for (const auto& [name, row] : group.endpoints) {
@@ -334,6 +336,11 @@
   }
   group->phase = Phase::kIdle;
   group->preferred.reset();
+  // A leaving primary that alone had the newest entries was chosen again; by
+  // the next try the others will have caught up.
+  if (Excluded(group->endpoints[call.endpoint])) {
+    group->not_before = m_context->Now() + kPlannedRetry;
+  }
   m_context->Stats()->Add("failovers");
   Merge({group->name, call.term, call.endpoint, m_context->Options().host});
   FinishAttempt(group);
