--- a/Source/Control/control_context.h
+++ b/Source/Control/control_context.h
@@ -26,7 +26,7 @@
   Milliseconds key_grace{8'000};
   // The same while a majority of hosts proves that nobody reaches the platform.
   Milliseconds outage_grace{1'800'000};
-  Milliseconds seat_lease{900'000};
+  Milliseconds seat_lease{60'000};
   Milliseconds seat_renew{20'000};
   Milliseconds guard_lease{4'000};
   Milliseconds guard_renew{1'000};
--- a/Source/Control/control_core.cc
+++ b/Source/Control/control_core.cc
@@ -65,6 +65,15 @@
     m_seats.Handle(from, *request);
   } else if (const auto* ack = std::get_if<peer::GuardAck>(&message)) {
     m_seats.Handle(from, *ack);
+  } else if (const auto* ask = std::get_if<peer::SeatVouchRequest>(&message)) {
+    m_seats.Quorum().Handle(from, *ask);
+  } else if (const auto* vouch = std::get_if<peer::SeatVouch>(&message)) {
+    m_seats.Quorum().Handle(from, *vouch);
+  } else if (const auto* take = std::get_if<peer::SeatTakeRequest>(&message)) {
+    m_seats.Quorum().Handle(from, *take);
+  } else if (const auto* consent =
+                 std::get_if<peer::SeatTakeConsent>(&message)) {
+    m_seats.Quorum().Handle(from, *consent);
   } else if (const auto* query = std::get_if<peer::ConfigQuery>(&message)) {
     m_config.Handle(from, *query);
   } else if (const auto* answer = std::get_if<peer::ConfigAnswer>(&message)) {
@@ -232,6 +241,9 @@
       return ProposeEdit(
           command,
           SetDraining(name, command.verb == OperatorVerb::kEndpointDrain));
+    case OperatorVerb::kSeatClear:
+      return m_seats.Clear(command.ticket,
+                           static_cast<int>(UintOr(arguments, "seat")));
     case OperatorVerb::kPromote: {
       const auto endpoint = StringOr(arguments, "endpoint");
       return m_failover.Promote(
--- a/Source/Control/control_messages.h
+++ b/Source/Control/control_messages.h
@@ -40,12 +40,13 @@
   kZoneIn,
   kEndpointDrain,
   kEndpointUndrain,
-  kPromote
+  kPromote,
+  kSeatClear
 };
-inline constexpr std::array<std::string_view, 10> kOperatorVerbNames = {
+inline constexpr std::array<std::string_view, 11> kOperatorVerbNames = {
     "status",           "config_show", "config_apply", "key_add",
     "key_withdraw",     "zone_out",    "zone_in",      "endpoint_drain",
-    "endpoint_undrain", "promote"};
+    "endpoint_undrain", "promote", "seat_clear"};
 struct OperatorCommand {
   CallId ticket = 0;
   OperatorVerb verb = OperatorVerb::kStatus;
--- a/Source/Control/seat_lease.cc
+++ b/Source/Control/seat_lease.cc
@@ -15,6 +15,7 @@
 constexpr Milliseconds kListWhenSeated{5'000};
 constexpr Milliseconds kReleaseTimeout{3'000};
 constexpr Milliseconds kWriteRetry{1'000};
+constexpr Milliseconds kVouchAfter{5'000};
 constexpr std::size_t kMaxGuardRequests = 64;
 
 std::string KeyOf(int seat) { return "seat-" + std::to_string(seat); }
@@ -32,17 +33,37 @@
   if (m_zones.empty()) return;
   const auto now = m_context->Now();
   std::erase_if(m_held, [&](const auto& item) {
-    const bool lapsed =
-        now >= item.second.renewed + m_context->Options().seat_lease;
+    // Past this no vouch can bring it back.
+    const bool lapsed = now >= item.second.renewed +
+                                   m_context->Options().outage_grace +
+                                   m_context->Options().seat_lease;
     if (lapsed) m_context->Stats()->Add("seats_lapsed");
     return lapsed;
   });
+  m_quorum.Update(m_zones.size(), View().held);
+  const bool renewals_fail =
+      std::any_of(m_held.begin(), m_held.end(), [&](const auto& item) {
+        return now - item.second.renewed >
+               m_context->Options().seat_renew + kVouchAfter;
+      });
+  if (renewals_fail) m_quorum.AskForVouches();
+  for (auto& [seat, held] : m_held) Stretch(&held);
   if (now >= m_next_list && !m_listing) RefreshRows();
   if (m_releasing) {
     if (now >= m_release_deadline) m_held.clear();
     return;
   }
-  if (m_held.empty()) TryAcquire();
+  // A seat without a holder is everybody's loss, so one that lapsed is taken
+  // by hosts with a seat too, and passed on when a host without one comes.
+  const bool lapsed =
+      std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& item) {
+        return !item.second.holder.empty() && HasLapsed(item.second);
+      });
+  const bool guarded =
+      std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& item) {
+        return item.second.guard == m_context->Options().host;
+      });
+  if (m_held.empty() || lapsed || guarded) TryAcquire();
   Renew();
   RenewGuards();
 }
@@ -100,7 +121,8 @@
     // An acquisition took effect although its answer was lost. The row may be
     // older than this host's lease allows, so it is renewed before use.
     if (mine && !m_releasing) {
-      m_held[seat] = {row.version, row.guard, Instant{}, std::nullopt};
+      m_held[seat] = {row.version, row.guard, Instant{}, Instant{},
+                      std::nullopt};
       Write(WriteKind::kRenew, seat, row.version, row.guard);
     }
     return;
@@ -121,12 +143,20 @@
   });
 }
 
-bool SeatLease::MayTake(int seat, const SeatRow& row) const {
+bool SeatLease::HasLapsed(const SeatRow& row) const {
+  const auto unchanged = row.last_seen - row.unchanged_since;
+  return unchanged > WithDrift(m_context->Options().seat_lease);
+}
+
+bool SeatLease::MayTake(int seat, const SeatRow& row) {
   const auto now = m_context->Now();
   if (HasPendingWrite(seat) || row.last_seen == Instant{}) return false;
   if (row.holder.empty()) return true;
   const auto& options = m_context->Options();
-  if (row.last_seen - row.unchanged_since > WithDrift(options.seat_lease)) {
+  const auto hard_limit = options.seat_lease + options.outage_grace;
+  if (row.last_seen - row.unchanged_since > WithDrift(hard_limit)) return true;
+  if (HasLapsed(row) && !m_members->IsLive(row.holder) &&
+      m_quorum.AskForConsent(row.holder)) {
     return true;
   }
   if (row.guard != options.host) return false;
@@ -139,12 +169,15 @@
 
 void SeatLease::TryAcquire() {
   std::vector<int> order;
+  if (!m_writes.empty() || m_context->Now() < m_write_after) return;
   for (int seat = 0; seat < static_cast<int>(m_zones.size()); ++seat) {
-    if (MayTake(seat, m_rows[seat])) order.push_back(seat);
-  }
-  if (order.empty() || !m_writes.empty() || m_context->Now() < m_write_after) {
-    return;
+    auto& row = m_rows[seat];
+    // Free seats are left to hosts without one.
+    if (row.holder.empty() && !m_held.empty()) continue;
+    if (row.holder == m_context->Options().host) continue;
+    if (MayTake(seat, row)) order.push_back(seat);
   }
+  if (order.empty()) return;
   const auto is_local = [&](int seat) {
     return m_zones[static_cast<std::size_t>(seat)] == m_context->Options().zone;
   };
@@ -161,7 +194,8 @@
                       const HostId& guard) {
   const auto& options = m_context->Options();
   Json::Value value;
-  value["host"] = kind == WriteKind::kRelease ? HostId() : options.host;
+  const bool frees = kind == WriteKind::kRelease || kind == WriteKind::kClear;
+  value["host"] = frees ? HostId() : options.host;
   value["address"] = options.address;
   value["guard"] = guard;
   platform::CommitRows commit;
@@ -173,6 +207,13 @@
 
 void SeatLease::OnWritten(const PendingWrite& write,
                           const Result<platform::Answer>& answer) {
+  if (write.kind == WriteKind::kClear) {
+    Result<Json::Value> result = Json::Value(Json::objectValue);
+    if (!answer) result = answer.error();
+    m_next_list = Instant{};
+    m_context->Emit(OperatorReply{write.ticket, std::move(result)});
+    return;
+  }
   if (!answer) {
     m_write_after = m_context->Now() + kWriteRetry;
     const bool refused = answer.error().code == ErrorCode::kConflict ||
@@ -305,6 +346,23 @@
   Write(WriteKind::kRelease, seat, version, {});
 }
 
+void SeatLease::Clear(CallId ticket, int seat) {
+  const auto row = m_rows.find(seat);
+  if (row == m_rows.end() || row->second.holder.empty()) {
+    m_context->Emit(OperatorReply{
+        ticket, MakeError(ErrorCode::kNotFound, "nobody holds this seat")});
+    return;
+  }
+  if (m_members->IsLive(row->second.holder)) {
+    m_context->Emit(OperatorReply{
+        ticket, MakeError(ErrorCode::kConflict, "its holder is alive: " +
+                                                    row->second.holder)});
+    return;
+  }
+  Write(WriteKind::kClear, seat, row->second.version, {});
+  m_writes.rbegin()->second.ticket = ticket;
+}
+
 void SeatLease::Release() {
   if (m_releasing) return;
   m_releasing = true;
@@ -373,8 +431,21 @@
   return it->second + m_context->Options().guard_lease;
 }
 
+void SeatLease::Stretch(HeldSeat* seat) {
+  if (m_context->Now() >= LeasedUntil(*seat)) return;
+  const auto limit = seat->renewed + m_context->Options().outage_grace;
+  seat->stretched =
+      std::max(seat->stretched, std::min(m_quorum.VouchedUntil(), limit));
+}
+
+Instant SeatLease::LeasedUntil(const HeldSeat& seat) const {
+  if (seat.renewed == Instant{}) return Instant{};
+  return std::max(seat.renewed + m_context->Options().seat_lease,
+                  seat.stretched);
+}
+
 Instant SeatLease::ValidUntil(const HeldSeat& seat) const {
-  auto until = seat.renewed + m_context->Options().seat_lease;
+  auto until = LeasedUntil(seat);
   until = std::min(until, GuardedUntil(seat.guard));
   if (seat.doubtful_guard) {
     until = std::min(until, GuardedUntil(*seat.doubtful_guard));
--- a/Source/Control/seat_lease.h
+++ b/Source/Control/seat_lease.h
@@ -2,8 +2,9 @@
 //
 // A seat entitles its holder to one share of every fleet-wide limit. Two
 // leases protect it. The long one (seat_lease) is renewed in the table: it
-// lets anybody take the seat of a host that is gone, and it outlasts an outage
-// of the platform. The short one (guard_lease) is renewed with one other host,
+// lets others take the seat of a host that is gone, with the consent of a
+// majority of the seats, and it is stretched by a majority's vouch during an
+// outage of the platform (seat_quorum.h). The short one (guard_lease) is renewed with one other host,
 // the guard named in the row: only the guard may take the seat early, so a
 // crashed host's share comes back within seconds.
 //
@@ -21,6 +22,7 @@
 
 #include "Control/control_context.h"
 #include "Control/member_table.h"
+#include "Control/seat_quorum.h"
 #include "Limits/seat_view.h"
 
 namespace tiller::control {
@@ -28,7 +30,7 @@
 class SeatLease {
  public:
   SeatLease(ControlContext* context, const MemberTable* members)
-      : m_context(context), m_members(members) {}
+      : m_context(context), m_members(members), m_quorum(context, members) {}
 
   // Adopts the number of seats and their zones.
   void Configure(const std::vector<ZoneId>& zones);
@@ -41,6 +43,9 @@
   bool Handle(const PlatformAnswered& answered);
   void Handle(const HostId& from, const peer::GuardRequest& message);
   void Handle(const HostId& from, const peer::GuardAck& message);
+  SeatQuorum& Quorum() { return m_quorum; }
+  // Frees a seat whose holder an operator knows to be gone for good.
+  void Clear(CallId ticket, int seat);
 
   limits::SeatView View() const;
   std::set<HostId> Holders() const;
@@ -62,16 +67,20 @@
     HostId guard;
     // Start of the last renewal that is known to have taken effect.
     Instant renewed{};
+    // The lease as stretched by vouches. It is only ever stretched while it is
+    // whole: once lapsed, others may have taken the seat.
+    Instant stretched{};
     // A write whose effect is unknown may have named this guard.
     std::optional<HostId> doubtful_guard;
   };
-  enum class WriteKind { kAcquire, kRenew, kRelease };
+  enum class WriteKind { kAcquire, kRenew, kRelease, kClear };
   struct PendingWrite {
     WriteKind kind = WriteKind::kRenew;
     int seat = 0;
     platform::RowVersion expected = 0;
     HostId guard;
     Instant sent;
+    CallId ticket = 0;  // of an operator's command
   };
 
   void RefreshRows();
@@ -81,7 +90,8 @@
   void OnDoubtfulWrite(const PendingWrite& write);
   void ResolveDoubt(int seat, const SeatRow& row);
   void TryAcquire();
-  bool MayTake(int seat, const SeatRow& row) const;
+  bool MayTake(int seat, const SeatRow& row);
+  bool HasLapsed(const SeatRow& row) const;
   void Renew();
   void ReleaseExtra();
   void Write(WriteKind kind, int seat, platform::RowVersion expected,
@@ -91,11 +101,14 @@
   bool GuardAnswers(const HeldSeat& seat) const;
   void RenewGuards();
   Instant GuardedUntil(const HostId& guard) const;
+  void Stretch(HeldSeat* seat);
+  Instant LeasedUntil(const HeldSeat& seat) const;
   Instant ValidUntil(const HeldSeat& seat) const;
   bool HasPendingWrite(int seat) const;
 
   ControlContext* const m_context;
   const MemberTable* const m_members;
+  SeatQuorum m_quorum;
   std::vector<ZoneId> m_zones;
   std::map<int, SeatRow> m_rows;
   std::map<int, HeldSeat> m_held;
--- a/Source/Limits/unit_lease.cc
+++ b/Source/Limits/unit_lease.cc
@@ -22,6 +22,28 @@
                                                         (1.0 + kMaxClockDrift));
 }
 
+// Deals units to zones in turn, the resource's own zone first, so that no
+// single zone's hosts take all of them along when they are lost.
+std::vector<int> OwnersOf(const UnitLimit& limit, const SeatView& seats) {
+  std::map<ZoneId, std::vector<int>> by_zone;
+  for (std::size_t i = 0; i < seats.zones.size(); ++i) {
+    by_zone[seats.zones[i]].push_back(static_cast<int>(i));
+  }
+  std::vector<std::vector<int>> lanes;
+  for (auto& [zone, zone_seats] : by_zone) {
+    auto ranked = RankSeats(limit.resource, zone_seats, zone_seats.size());
+    const auto at = zone == limit.zone ? lanes.begin() : lanes.end();
+    lanes.insert(at, std::move(ranked));
+  }
+  std::vector<int> owners;
+  for (int unit = 0; unit < limit.units && !lanes.empty(); ++unit) {
+    const auto index = static_cast<std::size_t>(unit);
+    const auto& lane = lanes[index % lanes.size()];
+    owners.push_back(lane[index / lanes.size() % lane.size()]);
+  }
+  return owners;
+}
+
 }  // namespace
 
 UnitLease::UnitLease(HostId self, Counters* counters)
@@ -35,21 +57,10 @@
     present.insert(limit.resource);
     auto& resource = m_resources[limit.resource];
     resource.limit = limit;
-    std::vector<int> local;
-    std::vector<int> all;
-    for (std::size_t i = 0; i < seats.zones.size(); ++i) {
-      all.push_back(static_cast<int>(i));
-      if (seats.zones[i] == limit.zone) local.push_back(static_cast<int>(i));
-    }
-    const auto ranked = RankSeats(limit.resource, local.empty() ? all : local,
-                                  seats.zones.size());
-    resource.owners.clear();
-    int owned = 0;
-    for (int unit = 0; unit < limit.units && !ranked.empty(); ++unit) {
-      const int seat = ranked[static_cast<std::size_t>(unit) % ranked.size()];
-      resource.owners.push_back(seat);
-      if (seats.Holds(seat)) ++owned;
-    }
+    resource.owners = OwnersOf(limit, seats);
+    const auto owned = static_cast<int>(
+        std::count_if(resource.owners.begin(), resource.owners.end(),
+                      [&](int seat) { return seats.Holds(seat); }));
     if (now >= resource.owned_from) resource.ready = resource.owned;
     if (owned > resource.owned) resource.owned_from = LoanEnd(now);
     resource.ready = std::min(resource.ready, owned);
@@ -72,11 +83,11 @@
   const auto it = m_resources.find(name);
   if (it == m_resources.end()) return std::nullopt;
   auto& resource = it->second;
-  for (auto& [loan_id, loan] : resource.borrowed) {
+  for (auto& [key, loan] : resource.borrowed) {
     if (loan.in_use || loan.recalled || loan.until <= now) continue;
     loan.in_use = true;
     loan.use_id = m_next_id++;
-    return UnitUse{name, loan_id, loan.use_id};
+    return UnitUse{name, key.first, key.second, loan.use_id};
   }
   // A borrower that has waited longer goes first.
   const bool borrower_first =
@@ -85,7 +96,7 @@
   if (FreeOwned(resource, now) > 0 && !borrower_first) {
     ++resource.own_in_use;
     resource.local_demand.reset();
-    return UnitUse{name, 0, m_next_id++};
+    return UnitUse{name, {}, 0, m_next_id++};
   }
   if (!resource.local_demand) resource.local_demand = now;
   ServeWaiting(&resource, now);
@@ -130,26 +141,25 @@
   if (it == m_resources.end()) return;
   auto& resource = it->second;
   m_woken.push_back(use.resource);
-  if (use.loan_id == 0) {
+  if (use.owner.empty()) {
     resource.own_in_use = std::max(0, resource.own_in_use - 1);
     ServeWaiting(&resource, now);
     return;
   }
-  const auto loan = resource.borrowed.find(use.loan_id);
+  const LoanKey key{use.owner, use.loan_id};
+  const auto loan = resource.borrowed.find(key);
   if (loan == resource.borrowed.end() || loan->second.use_id != use.use_id) {
     return;
   }
   loan->second.in_use = false;
   loan->second.idle_since = now;
-  if (loan->second.recalled) GiveBack(&resource, use.loan_id);
+  if (loan->second.recalled) GiveBack(&resource, key);
 }
 
-void UnitLease::GiveBack(Resource* resource, std::uint64_t loan_id) {
-  const auto loan = resource->borrowed.find(loan_id);
-  if (loan == resource->borrowed.end()) return;
+void UnitLease::GiveBack(Resource* resource, const LoanKey& key) {
+  if (resource->borrowed.erase(key) == 0) return;
   m_out.push_back(
-      {loan->second.owner, UnitReturn{resource->limit.resource, loan_id}});
-  resource->borrowed.erase(loan);
+      {key.first, UnitReturn{resource->limit.resource, key.second}});
 }
 
 void UnitLease::ServeWaiting(Resource* resource, Instant now) {
@@ -201,7 +211,8 @@
   const auto asked = resource.asked.find(message.request_id);
   if (asked == resource.asked.end() || asked->second.owner != from) {
     // Too late to be used; its owner should not wait for the loan to lapse.
-    if (message.loan_id != 0 && resource.borrowed.count(message.loan_id) == 0) {
+    if (message.loan_id != 0 &&
+        resource.borrowed.count({from, message.loan_id}) == 0) {
       m_out.push_back({from, UnitReturn{message.resource, message.loan_id}});
     }
     return;
@@ -210,15 +221,15 @@
   const auto renews = asked->second.renews;
   resource.asked.erase(asked);
   if (renews != 0) {
-    const auto loan = resource.borrowed.find(renews);
+    const auto loan = resource.borrowed.find({from, renews});
     if (loan == resource.borrowed.end()) return;
     loan->second.renewing = false;
     if (message.loan_id == renews) loan->second.until = until;
     return;
   }
   if (message.loan_id == 0 || until <= now) return;
-  resource.borrowed[message.loan_id] = {from,  until, now, false,
-                                        false, false, 0};
+  resource.borrowed[{from, message.loan_id}] = {until, now,   false,
+                                                false, false, 0};
   resource.local_demand.reset();
   m_counters->Add("units_borrowed");
   m_woken.push_back(message.resource);
@@ -238,37 +249,39 @@
 void UnitLease::Handle(const HostId& from, const UnitRecall& message, Instant) {
   const auto it = m_resources.find(message.resource);
   if (it == m_resources.end()) return;
-  const auto loan = it->second.borrowed.find(message.loan_id);
-  if (loan == it->second.borrowed.end() || loan->second.owner != from) return;
+  const LoanKey key{from, message.loan_id};
+  const auto loan = it->second.borrowed.find(key);
+  if (loan == it->second.borrowed.end()) return;
   loan->second.recalled = true;
-  if (!loan->second.in_use) GiveBack(&it->second, message.loan_id);
+  if (!loan->second.in_use) GiveBack(&it->second, key);
 }
 
 void UnitLease::TickBorrowed(Resource* resource, Instant now,
                              std::vector<UnitUse>* lapsed) {
-  std::vector<std::uint64_t> idle;
+  std::vector<LoanKey> idle;
   for (auto it = resource->borrowed.begin(); it != resource->borrowed.end();) {
-    auto& [loan_id, loan] = *it;
+    auto& [key, loan] = *it;
     if (loan.until <= now) {
       if (loan.in_use) {
-        lapsed->push_back({resource->limit.resource, loan_id, loan.use_id});
+        lapsed->push_back({resource->limit.resource, key.first, key.second,
+                           loan.use_id});
       }
       it = resource->borrowed.erase(it);
       continue;
     }
     if (!loan.in_use && now - loan.idle_since > kReturnIdleAfter) {
-      idle.push_back(loan_id);
+      idle.push_back(key);
     } else if (loan.in_use && !loan.renewing &&
                loan.until - now < kRenewBefore) {
       loan.renewing = true;
       const auto id = m_next_id++;
-      resource->asked[id] = {loan.owner, now, loan_id};
-      m_out.push_back(
-          {loan.owner, UnitRequest{resource->limit.resource, id, loan_id}});
+      resource->asked[id] = {key.first, now, key.second};
+      m_out.push_back({key.first, UnitRequest{resource->limit.resource, id,
+                                              key.second}});
     }
     ++it;
   }
-  for (const auto loan_id : idle) GiveBack(resource, loan_id);
+  for (const auto& key : idle) GiveBack(resource, key);
 }
 
 void UnitLease::TickLent(Resource* resource, Instant now) {
--- a/Source/Limits/unit_lease.h
+++ b/Source/Limits/unit_lease.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Common/counters.h"
@@ -29,7 +30,8 @@
 // Where the unit came from that one statement uses.
 struct UnitUse {
   std::string resource;
-  std::uint64_t loan_id = 0;  // 0: an own unit
+  HostId owner;  // of a borrowed unit; empty: an own one
+  std::uint64_t loan_id = 0;
   std::uint64_t use_id = 0;
 };
 
@@ -68,8 +70,9 @@
     Instant until;
     bool recalled = false;
   };
+  // Loan numbers are the owner's own: two owners may use the same one.
+  using LoanKey = std::pair<HostId, std::uint64_t>;
   struct Borrowed {
-    HostId owner;
     Instant until;
     Instant idle_since;
     bool in_use = false;
@@ -98,7 +101,7 @@
     int own_in_use = 0;
     // own_in_use + lent.size() <= owned, but for seats that were just lost.
     std::map<std::uint64_t, Lent> lent;
-    std::map<std::uint64_t, Borrowed> borrowed;
+    std::map<LoanKey, Borrowed> borrowed;
     std::map<std::uint64_t, Asked> asked;
     std::deque<Waiting> waiting;
     std::optional<Instant> local_demand;
@@ -110,7 +113,7 @@
   void Ask(Resource* resource, Instant now);
   void ServeWaiting(Resource* resource, Instant now);
   void Recall(Resource* resource);
-  void GiveBack(Resource* resource, std::uint64_t loan_id);
+  void GiveBack(Resource* resource, const LoanKey& key);
   void TickBorrowed(Resource* resource, Instant now,
                     std::vector<UnitUse>* lapsed);
   void TickLent(Resource* resource, Instant now);
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -12,10 +12,11 @@
 
 // One row per alternative of Message, in order.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kKinds = {
-    "gossip",          "guard_request", "guard_ack",   "config_query",
-    "config_answer",   "config_fetch",  "config_body", "config_prepare",
-    "config_prepared", "token_request", "token_grant", "unit_request",
-    "unit_grant",      "unit_return",   "unit_recall"};
+    "gossip",         "guard_request",     "guard_ack",    "seat_vouch_request",
+    "seat_vouch",     "seat_take_request", "seat_take_consent",
+    "config_query",   "config_answer",     "config_fetch", "config_body",
+    "config_prepare", "config_prepared",   "token_request", "token_grant",
+    "unit_request",   "unit_grant",        "unit_return",  "unit_recall"};
 
 constexpr Json::ArrayIndex kMaxListed = 2048;
 
@@ -88,6 +89,12 @@
         U(static_cast<std::uint64_t>(message.confirmed_age.count()));
     (*out)["change_prepared"] = message.change_prepared;
   }
+  if constexpr (requires { message.seats; }) {
+    for (const int seat : message.seats) (*out)["seats"].append(seat);
+  }
+  if constexpr (requires { message.holder; }) {
+    (*out)["holder"] = message.holder;
+  }
 }
 template <HasNonce Kind>
 void Get(const Json::Value& json, Kind* message) {
@@ -98,6 +105,14 @@
         Milliseconds(static_cast<std::int64_t>(UintOr(json, "age_ms")));
     message->change_prepared = BoolOr(json, "change_prepared");
   }
+  if constexpr (requires { message->seats; }) {
+    for (const auto& seat : json["seats"]) {
+      if (seat.isInt()) message->seats.push_back(seat.asInt());
+    }
+  }
+  if constexpr (requires { message->holder; }) {
+    message->holder = StringOr(json, "holder");
+  }
 }
 
 void Put(const ConfigFetch&, Json::Value*) {}
@@ -178,7 +193,7 @@
 }
 
 bool TooLong(const Json::Value& body) {
-  for (const auto* list : {"members", "groups", "settled"}) {
+  for (const auto* list : {"members", "groups", "settled", "seats"}) {
     if (body.isMember(list) &&
         (!body[list].isArray() || body[list].size() > kMaxListed)) {
       return true;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -46,6 +46,26 @@
   std::uint64_t nonce = 0;
 };
 
+// Asks another holder to vouch, during an outage of the platform, that it
+// will not help anybody to take the sender's seats for a while.
+struct SeatVouchRequest {
+  std::uint64_t nonce = 0;
+};
+// `seats` are those that the sender holds; a majority of all seats vouches.
+struct SeatVouch {
+  std::uint64_t nonce = 0;
+  std::vector<int> seats;
+};
+// Asks for consent to take the seats of a holder whose lease has lapsed.
+struct SeatTakeRequest {
+  std::uint64_t nonce = 0;
+  HostId holder;
+};
+struct SeatTakeConsent {
+  std::uint64_t nonce = 0;
+  std::vector<int> seats;
+};
+
 // Asks how recently the receiver confirmed its configuration.
 struct ConfigQuery {
   std::uint64_t nonce = 0;
@@ -71,7 +91,8 @@
 };
 
 using Message =
-    std::variant<Gossip, GuardRequest, GuardAck, ConfigQuery, ConfigAnswer,
+    std::variant<Gossip, GuardRequest, GuardAck, SeatVouchRequest, SeatVouch,
+                 SeatTakeRequest, SeatTakeConsent, ConfigQuery, ConfigAnswer,
                  ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall>;
--- /dev/null
+++ b/Source/UnitTests/Limits/token_share_test.cc
@@ -0,0 +1,210 @@
+// The invariant of the shared rate as a property: whatever is lost, late,
+// doubled or paused, the fleet never holds or spends more than burst + rate.
+#include "Limits/token_share.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <memory>
+
+#include "Common/clock.h"
+
+namespace tiller::limits {
+namespace {
+
+constexpr double kRate = 50;
+constexpr double kBurst = 20;
+constexpr char kWorkspace[] = "w";
+
+struct Sent {
+  HostId from;
+  AddressedShareMessage message;
+};
+
+// Hosts with one seat each, and a network that does what the test tells it.
+class Shares {
+ public:
+  explicit Shares(int hosts) {
+    for (int i = 0; i < hosts; ++i) {
+      m_hosts.push_back(std::make_unique<TokenShare>(Name(i), &m_random,
+                                                     &m_counters));
+      m_held.push_back({i});
+    }
+    m_holders.resize(static_cast<std::size_t>(hosts));
+    for (int i = 0; i < hosts; ++i) {
+      m_holders[static_cast<std::size_t>(i)] = Name(i);
+    }
+    for (int i = 0; i < hosts; ++i) Update(i, std::chrono::hours(1));
+  }
+  static HostId Name(int i) { return "h" + std::to_string(i); }
+  Instant Now() const { return m_clock.Now(); }
+  ManualClock& Clock() { return m_clock; }
+  TokenShare& Host(int i) { return *m_hosts[static_cast<std::size_t>(i)]; }
+  int Count() const { return static_cast<int>(m_hosts.size()); }
+
+  void Update(int i, Duration lease) {
+    SeatView view;
+    view.holders = m_holders;
+    view.zones.resize(m_holders.size(), "z");
+    view.held = m_held[static_cast<std::size_t>(i)];
+    view.valid_until = Now() + lease;
+    Host(i).Update({{kWorkspace, kRate, kBurst}}, view, Now());
+  }
+  // Moves the seats of one host to another.
+  void MoveSeats(int from, int to) {
+    auto& source = m_held[static_cast<std::size_t>(from)];
+    auto& target = m_held[static_cast<std::size_t>(to)];
+    for (const int seat : source) {
+      m_holders[static_cast<std::size_t>(seat)] = Name(to);
+    }
+    target.insert(target.end(), source.begin(), source.end());
+    source.clear();
+    Update(from, std::chrono::hours(1));
+    Update(to, std::chrono::hours(1));
+  }
+  void Collect() {
+    for (int i = 0; i < Count(); ++i) {
+      for (auto& message : Host(i).TakeMessages()) {
+        m_network.push_back({Name(i), std::move(message)});
+      }
+    }
+  }
+  void Deliver(std::size_t index, bool keep) {
+    Collect();
+    if (m_network.empty()) return;
+    const auto at = m_network.begin() +
+                    static_cast<std::ptrdiff_t>(index % m_network.size());
+    const Sent sent = *at;
+    if (!keep) m_network.erase(at);
+    const int to = std::stoi(sent.message.to.substr(1));
+    if (const auto* request =
+            std::get_if<TokenRequest>(&sent.message.message)) {
+      Host(to).Handle(sent.from, *request, Now());
+    } else if (const auto* grant =
+                   std::get_if<TokenGrant>(&sent.message.message)) {
+      Host(to).Handle(sent.from, *grant, Now());
+    }
+  }
+  void DeliverAll() {
+    for (int i = 0; i < 200; ++i) {
+      Collect();
+      if (m_network.empty()) return;
+      Deliver(0, false);
+    }
+  }
+  void Drop(std::size_t index) {
+    Collect();
+    if (m_network.empty()) return;
+    m_network.erase(m_network.begin() +
+                    static_cast<std::ptrdiff_t>(index % m_network.size()));
+  }
+  MicroTokens Total() {
+    MicroTokens sum = 0;
+    for (int i = 0; i < Count(); ++i) {
+      sum += Host(i).Level(kWorkspace, Now()) +
+             Host(i).InFlight(kWorkspace, Now());
+    }
+    return sum;
+  }
+
+ private:
+  ManualClock m_clock;
+  SeededRandom m_random{7};
+  Counters m_counters;
+  std::vector<std::unique_ptr<TokenShare>> m_hosts;
+  std::vector<std::vector<int>> m_held;
+  std::vector<HostId> m_holders;
+  std::deque<Sent> m_network;
+};
+
+TEST(TokenShare, NeverHoldsOrSpendsMoreThanBurstAndRate) {
+  const bool held = rc::check(
+      "sum of levels and flights <= burst; spent <= burst + rate * time", [] {
+        Shares shares(4);
+        const auto start = shares.Now();
+        double spent = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(
+            200, rc::gen::inRange(0, 100'000));
+        for (const int step : steps) {
+          const int host = step % 4;
+          const auto index = static_cast<std::size_t>(step / 100);
+          switch (step / 4 % 8) {
+            case 0:
+            case 1:
+              if (shares.Host(host).TrySpend(kWorkspace, shares.Now())) {
+                ++spent;
+              }
+              break;
+            case 2:
+              shares.Host(host).Demand(kWorkspace, 10, shares.Now());
+              break;
+            case 3:
+              shares.Deliver(index, false);
+              break;
+            case 4:
+              shares.Deliver(index, true);  // arrives again later
+              break;
+            case 5:
+              shares.Drop(index);
+              break;
+            case 6:
+              shares.Clock().Advance(Milliseconds(step % 150));
+              break;
+            case 7:
+              if (step % 5 == 0) shares.MoveSeats(host, (host + 1) % 4);
+              break;
+          }
+          const double elapsed =
+              std::chrono::duration<double>(shares.Now() - start).count();
+          RC_ASSERT(shares.Total() <=
+                    static_cast<MicroTokens>(kBurst * kMicroPerToken));
+          RC_ASSERT(spent <= kBurst + kRate * elapsed + 1e-6);
+        }
+      });
+  EXPECT_TRUE(held);
+}
+
+TEST(TokenShare, SkewedDemandGetsTheWholeRate) {
+  Shares shares(9);
+  int spent = 0;
+  constexpr int kSeconds = 10;
+  for (int i = 0; i < kSeconds * 200; ++i) {
+    shares.Clock().Advance(Milliseconds(5));
+    // All requests arrive at one host, at 0.9 of the rate.
+    const double due = 0.9 * kRate * (i + 1) * 0.005;
+    int waiting = 0;
+    while (spent + waiting < static_cast<int>(due)) {
+      if (!shares.Host(0).TrySpend(kWorkspace, shares.Now())) {
+        ++waiting;
+        continue;
+      }
+      ++spent;
+    }
+    shares.Host(0).Demand(kWorkspace, static_cast<std::size_t>(waiting),
+                          shares.Now());
+    shares.DeliverAll();
+  }
+  EXPECT_GE(spent, static_cast<int>(0.9 * kRate * kSeconds) - 2);
+}
+
+TEST(TokenShare, LapsedSeatSpendsNothing) {
+  Shares shares(2);
+  shares.Update(0, Milliseconds(100));
+  EXPECT_TRUE(shares.Clock().Now() < Instant::max());
+  shares.Clock().Advance(std::chrono::seconds(5));
+  EXPECT_FALSE(shares.Host(0).TrySpend(kWorkspace, shares.Now()));
+  EXPECT_TRUE(shares.Host(1).TrySpend(kWorkspace, shares.Now()));
+}
+
+TEST(TokenShare, NewSeatStartsEmpty) {
+  Shares shares(2);
+  shares.Clock().Advance(std::chrono::seconds(5));
+  const auto before = shares.Host(1).Level(kWorkspace, shares.Now());
+  shares.MoveSeats(0, 1);
+  EXPECT_EQ(shares.Host(1).Level(kWorkspace, shares.Now()), before);
+  EXPECT_EQ(shares.Host(0).Level(kWorkspace, shares.Now()), 0);
+}
+
+}  // namespace
+}  // namespace tiller::limits
