Count votes by seats; a guard keeps no promise to a host whose seat it took

Cause: new tests of seats and configuration found three faults. A paused host woke after its guard had taken its seat, asked the guard again and was promised a seat that it no longer held. Guards chosen at the first start stayed in other zones, so a cut between zones moved seats across it. And majorities were counted over the hosts a host happened to see as holders: a minority next to the platform that had taken seats accepted the withdrawal of a key that the other side still honoured. Ruled out: longer leases (the faults are in who may vote, not in how long).

--- a/Source/Control/config_state.cc
+++ b/Source/Control/config_state.cc
@@ -44,24 +44,29 @@
          m_context->Now() - *m_platform_answered < kUnreachableAfter;
 }
 
-bool ConfigState::HasMajority(const std::set<HostId>& hosts) const {
-  std::size_t count = 0;
-  for (const auto& holder : m_holders) count += hosts.count(holder);
-  return count * 2 > m_holders.size();
-}
-
 bool ConfigState::OutageProved() const {
   const auto now = m_context->Now();
   if (PlatformReachable() || now < m_change_prepared_until || m_proposal) {
     return false;
   }
-  std::set<HostId> agreeing{m_context->Options().host};
+  const auto own = m_quorum->Votes();
+  std::set<int> agreeing(own.begin(), own.end());
   for (const auto& [host, proof] : m_proofs) {
-    if (proof.outage && now - proof.asked < kProofLifetime) {
-      agreeing.insert(host);
-    }
+    if (!proof.outage || now - proof.asked >= kProofLifetime) continue;
+    agreeing.insert(proof.seats.begin(), proof.seats.end());
   }
-  return HasMajority(agreeing);
+  return m_quorum->IsMajority(agreeing);
+}
+
+bool ConfigState::MajorityPrepared() const {
+  // Before the first configuration there is nothing that could be withdrawn.
+  if (!m_current) return true;
+  const auto own = m_quorum->Votes();
+  std::set<int> seats(own.begin(), own.end());
+  for (const auto& [host, votes] : m_proposal->prepared) {
+    seats.insert(votes.begin(), votes.end());
+  }
+  return m_quorum->IsMajority(seats);
 }
 
 void ConfigState::Confirm(Instant since) {
@@ -87,9 +92,7 @@
                  {{"version", std::to_string(version)}});
 }
 
-void ConfigState::Tick(const std::set<HostId>& holders) {
-  m_holders = holders;
-  m_holders.insert(m_context->Options().host);
+void ConfigState::Tick() {
   const auto now = m_context->Now();
   if (now >= m_next_poll && !m_head_call) PollHead();
   // Peers are asked when the platform does not answer, and by a host that has
@@ -186,8 +189,8 @@
                        : kNever;
   const bool prepared =
       now < m_change_prepared_until || m_proposal || PlatformReachable();
-  m_context->Send(address,
-                  peer::ConfigAnswer{message.nonce, Version(), age, prepared});
+  m_context->Send(address, peer::ConfigAnswer{message.nonce, Version(), age,
+                                              prepared, m_quorum->Votes()});
 }
 
 void ConfigState::Handle(const HostId& from,
@@ -204,7 +207,8 @@
     m_context->Send(m_members->AddressOf(from), peer::ConfigFetch{});
   }
   m_proofs[from] = {sent,
-                    !message.change_prepared && message.version <= Version()};
+                    !message.change_prepared && message.version <= Version(),
+                    message.seats};
 }
 
 void ConfigState::Handle(const HostId& from, const peer::ConfigFetch&) {
@@ -223,7 +227,8 @@
   if (address.empty()) return;
   m_change_prepared_until =
       std::max(m_change_prepared_until, m_context->Now() + kPrepareHold);
-  m_context->Send(address, peer::ConfigPrepared{message.nonce});
+  m_context->Send(address,
+                  peer::ConfigPrepared{message.nonce, m_quorum->Votes()});
 }
 
 void ConfigState::Handle(const HostId& from,
@@ -232,8 +237,8 @@
       message.nonce != m_proposal->nonce) {
     return;
   }
-  m_proposal->prepared.insert(from);
-  if (HasMajority(m_proposal->prepared)) ReadHead();
+  m_proposal->prepared[from] = message.seats;
+  if (MajorityPrepared()) ReadHead();
 }
 
 void ConfigState::Propose(CallId ticket, ConfigEdit edit,
@@ -255,7 +260,7 @@
   auto& proposal = *m_proposal;
   proposal.started = m_context->Now();
   proposal.nonce = m_context->NextId();
-  proposal.prepared = {m_context->Options().host};
+  proposal.prepared.clear();
   SendPrepare();
 }
 
@@ -264,9 +269,8 @@
 void ConfigState::SendPrepare() {
   auto& proposal = *m_proposal;
   proposal.next_prepare = m_context->Now() + kPrepareRetry;
-  if (HasMajority(proposal.prepared)) return ReadHead();
+  if (MajorityPrepared()) return ReadHead();
   for (const auto& row : m_members->Live()) {
-    if (proposal.prepared.count(row.record.host) > 0) continue;
     m_context->Send(row.record.address, peer::ConfigPrepare{proposal.nonce});
   }
 }
@@ -309,6 +313,10 @@
   }
   if (version != Version()) {
     // Behind the newest version: fetch it, then try again.
+    if (!m_current) {
+      return Fail(MakeError(ErrorCode::kConflict,
+                            "this host has no configuration yet"));
+    }
     if (++proposal.conflicts > kMaxConflicts || version < Version()) {
       return Fail(MakeError(ErrorCode::kConflict, "another change came first"));
     }
--- a/Source/Control/config_state.h
+++ b/Source/Control/config_state.h
@@ -2,10 +2,10 @@
 // newest one.
 //
 // Invariants: the adopted version never falls. Keys are honoured only while
-// the newest version was confirmed recently, or while a majority of the seat
-// holders has just said that none of them reaches the platform, so that nobody
-// can have accepted a withdrawal. A change is accepted only after a majority
-// has been told to stop relying on the latter.
+// the newest version was confirmed recently, or while holders of a majority of
+// the seats have just said that none of them reaches the platform, so that
+// nobody can have accepted a withdrawal. A change is accepted only after a
+// majority has been told to stop relying on the latter.
 #pragma once
 
 #include <functional>
@@ -18,6 +18,7 @@
 #include "Config/config.h"
 #include "Control/control_context.h"
 #include "Control/member_table.h"
+#include "Control/seat_quorum.h"
 
 namespace tiller::control {
 
@@ -26,10 +27,9 @@
 
 class ConfigState {
  public:
-  ConfigState(ControlContext* context, const MemberTable* members)
-      : m_context(context),
-        m_members(members),
-        m_holders{context->Options().host} {}
+  ConfigState(ControlContext* context, const MemberTable* members,
+              const SeatQuorum* quorum)
+      : m_context(context), m_members(members), m_quorum(quorum) {}
 
   const config::ConfigPtr& Current() const { return m_current; }
   config::ConfigVersion Version() const {
@@ -45,8 +45,7 @@
   void Propose(CallId ticket, ConfigEdit edit,
                std::optional<config::ConfigVersion> expected);
 
-  // `holders` are the hosts that hold seats, this one among them.
-  void Tick(const std::set<HostId>& holders);
+  void Tick();
   bool Handle(const PlatformAnswered& answered);
   void Handle(const HostId& from, const peer::ConfigQuery& message);
   void Handle(const HostId& from, const peer::ConfigAnswer& message);
@@ -63,7 +62,8 @@
     std::optional<config::ConfigVersion> expected;
     Stage stage = Stage::kPreparing;
     std::uint64_t nonce = 0;
-    std::set<HostId> prepared;
+    // Hosts that know of the change, with the seats that vote through them.
+    std::map<HostId, std::vector<int>> prepared;
     Instant next_prepare{};
     Instant started;
     int conflicts = 0;
@@ -76,6 +76,7 @@
   struct PeerProof {
     Instant asked;  // start of the query it answered
     bool outage = false;
+    std::vector<int> seats;
   };
   struct Query {
     HostId host;
@@ -88,7 +89,7 @@
   void OnHead(const platform::Answer& answer, Instant sent);
   void QueryPeers();
   bool OutageProved() const;
-  bool HasMajority(const std::set<HostId>& hosts) const;
+  bool MajorityPrepared() const;
 
   void StartPrepare();
   void SendPrepare();
@@ -103,6 +104,7 @@
 
   ControlContext* const m_context;
   const MemberTable* const m_members;
+  const SeatQuorum* const m_quorum;
   config::ConfigPtr m_current;
   Json::Value m_current_json;
   bool m_changed = false;
@@ -119,7 +121,6 @@
   Instant m_next_query{};
   std::map<std::uint64_t, Query> m_queries;
   std::map<HostId, PeerProof> m_proofs;
-  std::set<HostId> m_holders;
   // A peer announced a change: no outage is assumed before then.
   Instant m_change_prepared_until{};
   std::optional<Proposal> m_proposal;
--- a/Source/Control/control_core.cc
+++ b/Source/Control/control_core.cc
@@ -38,7 +38,7 @@
     : m_context(std::move(options), clock, random, counters),
       m_members(&m_context),
       m_seats(&m_context, &m_members),
-      m_config(&m_context, &m_members),
+      m_config(&m_context, &m_members, &m_seats.Quorum()),
       m_failover(&m_context, &m_members) {}
 
 void ControlCore::Handle(const Event& event) {
@@ -142,7 +142,7 @@
   for (const auto& address : m_seats.HolderAddresses()) {
     m_members.Learn(address);
   }
-  m_config.Tick(m_seats.Holders());
+  m_config.Tick();
   m_seats.Tick();
   m_failover.Tick();
   m_members.Tick(SelfRecord(), m_failover.Records());
--- a/Source/Control/seat_lease.cc
+++ b/Source/Control/seat_lease.cc
@@ -201,7 +201,8 @@
   platform::CommitRows commit;
   commit.writes.push_back({std::string(kTable), KeyOf(seat), expected, value});
   const auto id = m_context->Call(std::move(commit));
-  m_writes[id] = {kind, seat, expected, guard, m_context->Now()};
+  m_writes[id] = {kind,     seat,  m_rows[seat].holder,
+                  expected, guard, m_context->Now()};
   m_context->Stats()->Add("seat_writes");
 }
 
@@ -236,6 +237,9 @@
     return;
   }
   row.holder = m_context->Options().host;
+  if (!write.previous.empty() && write.previous != row.holder) {
+    m_taken_from[write.previous] = version;
+  }
   auto& held = m_held[write.seat];
   if (write.kind == WriteKind::kAcquire) {
     m_context->Log(
@@ -321,7 +325,12 @@
     if (!due && !guard_gone && !unguarded) continue;
     // A failing platform is asked again at the pace of its list.
     if (now - row.last_seen > 2 * kListWhenSeated && !due) continue;
-    const bool keep = !held.guard.empty() && GuardAnswers(held);
+    // A guard in another zone is a makeshift from the start: a cut between the
+    // zones would cost the seat.
+    const auto* guard = m_members->Find(held.guard);
+    const bool near =
+        guard != nullptr && guard->record.zone == m_context->Options().zone;
+    const bool keep = near && GuardAnswers(held);
     Write(WriteKind::kRenew, seat, held.version,
           keep ? held.guard : ChooseGuard());
   }
@@ -395,9 +404,21 @@
   }
 }
 
+bool SeatLease::WasTaken(const HostId& holder) {
+  const auto taken = m_taken_from.find(holder);
+  if (taken == m_taken_from.end()) return false;
+  const bool holds_again =
+      std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& item) {
+        return item.second.holder == holder &&
+               item.second.version > taken->second;
+      });
+  if (holds_again) m_taken_from.erase(taken);
+  return !holds_again;
+}
+
 void SeatLease::Handle(const HostId& from, const peer::GuardRequest& message) {
   const auto address = m_members->AddressOf(from);
-  if (address.empty()) return;
+  if (address.empty() || WasTaken(from)) return;
   // No promise while a write that would take the seat may be on its way.
   for (const auto& [id, write] : m_writes) {
     if (write.kind == WriteKind::kAcquire &&
@@ -472,14 +493,6 @@
   return view;
 }
 
-std::set<HostId> SeatLease::Holders() const {
-  std::set<HostId> out;
-  for (const auto& [seat, row] : m_rows) {
-    if (!row.holder.empty()) out.insert(row.holder);
-  }
-  return out;
-}
-
 std::vector<std::string> SeatLease::HolderAddresses() const {
   std::vector<std::string> out;
   for (const auto& [seat, row] : m_rows) {
--- a/Source/Control/seat_lease.h
+++ b/Source/Control/seat_lease.h
@@ -49,7 +49,6 @@
   void Clear(CallId ticket, int seat);
 
   limits::SeatView View() const;
-  std::set<HostId> Holders() const;
   std::vector<std::string> HolderAddresses() const;
   int HeldCount() const { return static_cast<int>(m_held.size()); }
 
@@ -78,6 +77,7 @@
   struct PendingWrite {
     WriteKind kind = WriteKind::kRenew;
     int seat = 0;
+    HostId previous;  // holder before the write
     platform::RowVersion expected = 0;
     HostId guard;
     Instant sent;
@@ -106,6 +106,7 @@
   Instant LeasedUntil(const HeldSeat& seat) const;
   Instant ValidUntil(const HeldSeat& seat) const;
   bool HasPendingWrite(int seat) const;
+  bool WasTaken(const HostId& holder);
 
   ControlContext* const m_context;
   const MemberTable* const m_members;
@@ -126,6 +127,10 @@
   std::map<int, platform::RowVersion> m_doubtful_takes;
   // No writes before then: the last one failed.
   Instant m_write_after{};
+  // Hosts whose seat this one took, with the version that did it. They get no
+  // more promises until a later row names them as holders again: they may not
+  // know yet, having been paused or cut off.
+  std::map<HostId, platform::RowVersion> m_taken_from;
   // As a guard: until when each holder was promised that its seats stay.
   std::map<HostId, Instant> m_promised;
   // As a holder: start of the last renewal that each guard acknowledged.
--- a/Source/Control/seat_quorum.cc
+++ b/Source/Control/seat_quorum.cc
@@ -62,7 +62,7 @@
   std::set<int> seats(m_usable.begin(), m_usable.end());
   for (const auto* vote : votes) {
     seats.insert(vote->seats.begin(), vote->seats.end());
-    if (seats.size() * 2 > m_seat_count) return vote->asked + kVouchLifetime;
+    if (IsMajority(seats)) return vote->asked + kVouchLifetime;
   }
   return Instant{};
 }
@@ -81,7 +81,7 @@
   for (const auto& [host, vote] : consents) {
     seats.insert(vote.seats.begin(), vote.seats.end());
   }
-  if (seats.size() * 2 > m_seat_count) return true;
+  if (IsMajority(seats)) return true;
   if (now < m_next_consent[holder]) return false;
   m_next_consent[holder] = now + kConsentInterval;
   for (const auto& row : m_members->Live()) {
--- a/Source/Control/seat_quorum.h
+++ b/Source/Control/seat_quorum.h
@@ -25,6 +25,14 @@
 
   // Seats that exist, and those that this host may use now.
   void Update(std::size_t seat_count, std::vector<int> usable);
+  // Seats that vote through this host; none while they are new to it.
+  std::vector<int> Votes() const {
+    return MayVote() ? m_usable : std::vector<int>{};
+  }
+  // True for more than half of all seats.
+  bool IsMajority(const std::set<int>& seats) const {
+    return seats.size() * 2 > m_seat_count;
+  }
 
   // As a holder: asks for vouches when due.
   void AskForVouches();
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -77,6 +77,8 @@
   Milliseconds confirmed_age{0};
   // A change is being accepted: an outage can't be assumed.
   bool change_prepared = false;
+  // Seats that vote for the answer.
+  std::vector<int> seats;
 };
 struct ConfigFetch {};
 struct ConfigBody {
@@ -88,6 +90,7 @@
 };
 struct ConfigPrepared {
   std::uint64_t nonce = 0;
+  std::vector<int> seats;
 };
 
 using Message =
--- /dev/null
+++ b/Source/UnitTests/Control/config_state_test.cc
@@ -0,0 +1,158 @@
+// Configuration and keys: in force everywhere, never back, and keys honoured
+// only while no withdrawal can be unknown.
+#include <gtest/gtest.h>
+
+#include "Common/json.h"
+#include "UnitTests/Support/fleet.h"
+
+namespace tiller::test {
+namespace {
+
+using std::chrono::seconds;
+
+FleetOptions Six() {
+  FleetOptions options;
+  options.hosts = 6;
+  options.seats = 6;
+  return options;
+}
+
+class ConfigStateTest : public testing::Test {
+ protected:
+  ConfigStateTest() : m_fleet(Six()) {
+    EXPECT_TRUE(m_fleet.Settle());
+    m_fleet.RunFor(seconds(24));
+  }
+  // Withdraws w2's key through a host; returns the outcome once known.
+  std::optional<Result<Json::Value>> Withdraw(int host, Duration limit) {
+    std::optional<Result<Json::Value>> out;
+    Json::Value arguments;
+    arguments["name"] = "w2-key";
+    m_fleet.Operate(
+        host, control::OperatorVerb::kKeyWithdraw, arguments,
+        [&out](const Result<Json::Value>& result) { out = result; });
+    m_fleet.RunUntil([&out] { return out.has_value(); }, limit);
+    return out;
+  }
+  // Error of a read with the workspace's key; nothing when it is served.
+  std::optional<ErrorCode> Refusal(int host, const std::string& workspace) {
+    auto request = m_fleet.Read(workspace, "x");
+    request.deadline = Milliseconds(2000);
+    const auto reply = m_fleet.Call(host, request);
+    if (!reply) return ErrorCode::kInternal;
+    return reply->error ? std::optional(reply->error->code) : std::nullopt;
+  }
+  Fleet m_fleet;
+};
+
+TEST_F(ConfigStateTest, WithdrawnKeyStopsOnEveryHost) {
+  EXPECT_FALSE(Refusal(5, "w2"));
+  const auto result = Withdraw(0, seconds(5));
+  ASSERT_TRUE(result && *result);
+  m_fleet.RunFor(seconds(1));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(Refusal(i, "w2"), ErrorCode::kKeyWithdrawn) << i;
+    EXPECT_FALSE(Refusal(i, "w1")) << i;
+  }
+}
+
+TEST_F(ConfigStateTest, CutOffZoneStopsHonouringKeys) {
+  m_fleet.CutZone("z1", true);
+  const auto result = Withdraw(1, seconds(5));
+  ASSERT_TRUE(result && *result);
+  m_fleet.RunFor(seconds(10));
+  EXPECT_EQ(Refusal(0, "w2"), ErrorCode::kKeysUnconfirmed);
+  EXPECT_EQ(Refusal(1, "w2"), ErrorCode::kKeyWithdrawn);
+}
+
+TEST_F(ConfigStateTest, OutageProvedByAMajorityKeepsKeysValid) {
+  m_fleet.SetPlatform(PlatformMode::kDown);
+  m_fleet.RunFor(seconds(120));
+  for (int i = 0; i < 6; ++i) EXPECT_FALSE(Refusal(i, "w1")) << i;
+}
+
+TEST_F(ConfigStateTest, MinorityNextToThePlatformCanAcceptNothing) {
+  // Hosts of z1 reach the platform and each other, and nobody else does.
+  for (const auto* zone : {"z1"}) m_fleet.CutZone(zone, false);
+  for (int i = 0; i < 6; ++i) {
+    if (m_fleet.ZoneOf(i) != "z1") {
+      m_fleet.Cut(m_fleet.HostNode(i), {"platform"});
+    }
+  }
+  m_fleet.RunFor(seconds(15));
+  // The majority takes it for an outage and goes on...
+  EXPECT_FALSE(Refusal(1, "w2"));
+  // ...which is right, since no withdrawal can be accepted meanwhile.
+  const auto result = Withdraw(0, seconds(12));
+  ASSERT_TRUE(result);
+  EXPECT_FALSE(*result);
+  EXPECT_EQ(result->error().outcome, RunOutcome::kNotRun);
+}
+
+TEST_F(ConfigStateTest, RacingOperatorsBothGetTheirChange) {
+  int accepted = 0;
+  for (int i = 0; i < 3; ++i) {
+    Json::Value arguments;
+    arguments["name"] = "k" + std::to_string(i);
+    arguments["workspace"] = "w1";
+    arguments["sha256"] = std::string(63, 'a') + std::to_string(i);
+    m_fleet.Operate(i, control::OperatorVerb::kKeyAdd, arguments,
+                    [&](const Result<Json::Value>& result) {
+                      if (result) ++accepted;
+                    });
+  }
+  m_fleet.RunFor(seconds(10));
+  EXPECT_EQ(accepted, 3);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(m_fleet.Control(i).Configuration().Version(), 4U);
+    EXPECT_EQ(m_fleet.Control(i).Configuration().Current()->keys.size(), 5U);
+  }
+}
+
+TEST_F(ConfigStateTest, LostAnswerOfAnAcceptanceIsResolved) {
+  m_fleet.SetPlatform(PlatformMode::kLoseAnswers);
+  std::optional<Result<Json::Value>> out;
+  Json::Value arguments;
+  arguments["name"] = "w2-key";
+  m_fleet.Operate(0, control::OperatorVerb::kKeyWithdraw, arguments,
+                  [&out](const Result<Json::Value>& result) { out = result; });
+  m_fleet.RunFor(seconds(4));
+  m_fleet.SetPlatform(PlatformMode::kUp);
+  m_fleet.RunFor(seconds(10));
+  ASSERT_TRUE(out);
+  const bool in_force = m_fleet.Control(3).Configuration().Version() == 2;
+  const bool unknown = !*out && out->error().outcome == RunOutcome::kUnknown;
+  EXPECT_TRUE(unknown || static_cast<bool>(*out) == in_force);
+}
+
+TEST_F(ConfigStateTest, HostStartedInAnOutageGetsTheConfigurationFromPeers) {
+  m_fleet.SetPlatform(PlatformMode::kDown);
+  m_fleet.RunFor(seconds(2));
+  const int fresh = m_fleet.StartHost("z1");
+  m_fleet.RunFor(seconds(10));
+  EXPECT_EQ(m_fleet.Control(fresh).Configuration().Version(), 1U);
+}
+
+TEST_F(ConfigStateTest, BadConfigurationIsRefusedWithEveryFault) {
+  auto json = config::ToJson(*m_fleet.Control(0).Configuration().Current());
+  json["groups"][0]["slots"] = 0;
+  json["workspaces"][0]["group"] = "nowhere";
+  json["surprise"] = 1;
+  Json::Value arguments;
+  arguments["config"] = json;
+  std::optional<Error> error;
+  m_fleet.Operate(0, control::OperatorVerb::kConfigApply, arguments,
+                  [&error](const Result<Json::Value>& result) {
+                    if (!result) error = result.error();
+                  });
+  m_fleet.RunFor(seconds(3));
+  ASSERT_TRUE(error);
+  EXPECT_EQ(error->code, ErrorCode::kConfigInvalid);
+  for (const auto* part : {"slots", "nowhere", "surprise"}) {
+    EXPECT_NE(error->detail.find(part), std::string::npos) << error->detail;
+  }
+  EXPECT_EQ(m_fleet.Control(0).Configuration().Version(), 1U);
+}
+
+}  // namespace
+}  // namespace tiller::test
--- a/Source/UnitTests/Control/failover_model_test.cc
+++ b/Source/UnitTests/Control/failover_model_test.cc
@@ -23,6 +23,10 @@
 
 constexpr int kHosts = 2;
 constexpr int kEndpoints = 3;
+// Choices for each call in flight, host and endpoint.
+constexpr std::size_t kPerItem = 3;
+constexpr std::size_t kHostChoices = std::size_t{kHosts} * kPerItem;
+constexpr std::size_t kEndpointChoices = std::size_t{kEndpoints} * kPerItem;
 constexpr int kMaxWrites = 2;
 constexpr int kMaxAttemptsPerHost = 2;
 constexpr int kMaxRestarts = 1;
@@ -101,7 +105,7 @@
 
   // Number of choices in this state; Apply takes one of them.
   std::size_t Choices() const {
-    return m_in_flight.size() * 3 + kHosts * 3 + kEndpoints * 3;
+    return m_in_flight.size() * 3 + kHostChoices + kEndpointChoices;
   }
   // Returns false when the choice changes nothing here.
   bool Apply(std::size_t choice);
@@ -264,7 +268,7 @@
     return true;
   }
   choice -= m_in_flight.size() * 3;
-  if (choice < kHosts * 3) {
+  if (choice < kHostChoices) {
     const int host = static_cast<int>(choice / 3);
     if (choice % 3 == 0) {
       if (Host(host).attempts >= kMaxAttemptsPerHost) return false;
@@ -283,7 +287,7 @@
     CollectCalls(host);
     return true;
   }
-  choice -= kHosts * 3;
+  choice -= kHostChoices;
   const int endpoint = static_cast<int>(choice / 3);
   if (choice % 3 == 0) return Write(endpoint);
   if (choice % 3 == 1) return Pull(endpoint);
@@ -346,11 +350,11 @@
 
 std::size_t ChoiceOf(const World& world, const std::string& step) {
   const auto index = static_cast<std::size_t>(step.back() - '0');
-  const auto calls = world.Choices() - kHosts * 3 - kEndpoints * 3;
+  const auto calls = world.Choices() - kHostChoices - kEndpointChoices;
   if (step.starts_with("deliver")) return index * 3;
   if (step.starts_with("promote")) return calls + index * 3;
   if (step.starts_with("tick")) return calls + index * 3 + 2;
-  const auto endpoints = calls + kHosts * 3;
+  const auto endpoints = calls + kHostChoices;
   return endpoints + index * 3 + (step.starts_with("pull") ? 1 : 0);
 }
 
--- a/Source/UnitTests/Limits/unit_lease_test.cc
+++ b/Source/UnitTests/Limits/unit_lease_test.cc
@@ -49,7 +49,8 @@
     if (m_network.empty()) return;
     const auto at = m_network.begin() +
                     static_cast<std::ptrdiff_t>(index % m_network.size());
-    const auto [from, message] = *at;
+    const auto from = at->first;
+    const auto message = at->second;
     if (!keep) m_network.erase(at);
     if (drop) return;
     const int to = std::stoi(message.to.substr(1));
--- a/Source/UnitTests/Matrix/fault_matrix.cc
+++ b/Source/UnitTests/Matrix/fault_matrix.cc
@@ -14,6 +14,7 @@
 using std::chrono::seconds;
 using traffic::RequestKind;
 
+constexpr Milliseconds kQuietStart{7'000};
 constexpr Milliseconds kFaultLength{4'000};
 constexpr Milliseconds kWorkloadLength{9'000};
 constexpr Milliseconds kRecovery{14'000};
@@ -125,6 +126,8 @@
     Break(Promise::kConfigurationHolds, "the fleet did not settle");
     return m_result;
   }
+  // Seats vote once they have been held for a while.
+  m_fleet.RunFor(kQuietStart);
   for (const auto* row : {"a", "b", "c", "d", "e"}) {
     Session session;
     session.workspace = "w1";
--- a/Source/UnitTests/Matrix/run_matrix.cc
+++ b/Source/UnitTests/Matrix/run_matrix.cc
@@ -46,7 +46,8 @@
 
   std::vector<test::Cell> cells;
   for (int i = 0; i < seeds; ++i) {
-    const auto base = static_cast<std::uint64_t>(seed + i * 1000);
+    const auto base =
+        static_cast<std::uint64_t>(seed) + static_cast<std::uint64_t>(i) * 1000;
     if (!pairs_only) {
       const auto singles = test::SingleCells(base);
       cells.insert(cells.end(), singles.begin(), singles.end());
