Keep control traffic flat; let slot loans last while they are used

Cause: the control slope grew with the fleet: 20 KB/s a host at 9 hosts (each host repeated everybody's record to everybody twice a second), 57 KB/s at 160 (hosts dropped out of the table faster than their heartbeats spread, and were contacted again). A host's death stalled writes for 2.1 s: the slots it had borrowed came back only after the loan's 2 s. Slot messages were 7 a request. Ruled out: larger messages (the same information, more bytes). Change: in a small fleet a host tells only of itself, once a second; in a large one each message carries a bounded half of youngest and half of drawn records, the silence that counts grows with the fleet, and the seat table is read less often. A guard trusts its ward's own messages in place of gossip. Loans last 0.5 s and are renewed while used; an idle unit is kept 150 ms unless recalled.

--- a/Source/Control/control_context.h
+++ b/Source/Control/control_context.h
@@ -19,7 +19,7 @@
   ZoneId zone;
   std::vector<std::string> seeds;  // control addresses of other hosts
 
-  Milliseconds gossip_interval{500};
+  Milliseconds gossip_interval{1'000};
   Milliseconds member_timeout{3'000};
   Milliseconds config_poll{2'000};
   // Keys are honoured this long after the newest configuration was confirmed.
--- a/Source/Control/member_table.cc
+++ b/Source/Control/member_table.cc
@@ -14,9 +14,17 @@
 constexpr std::size_t kFarTargets = 1;
 constexpr std::size_t kAnnounceTargets = 24;
 // Bounds on one message; with the targets and the interval they bound the
-// control traffic of a host whatever the fleet's size.
-constexpr std::size_t kMaxRecords = 10;
-constexpr std::size_t kMaxGroups = 8;
+// control traffic of a host whatever the fleet's size. In a full mesh each host
+// speaks for itself.
+constexpr std::size_t kMaxRecords = 7;
+constexpr std::size_t kMeshRecords = 1;
+constexpr std::size_t kMaxGroups = 4;
+// Addresses without a known host behind them that are tried in one round.
+constexpr std::size_t kMaxLearnedTargets = 2;
+// Heartbeats that reach a host in a second, about; a larger fleet needs longer
+// until silence means anything.
+constexpr std::size_t kRecordsPerSecond = 8;
+constexpr std::size_t kMissedRounds = 3;
 constexpr Milliseconds kLearnedRetry{2'000};
 constexpr Milliseconds kForgetAfter{60'000};
 
@@ -71,8 +79,10 @@
   const bool full_mesh = near.size() + far.size() <= kFullMeshLimit;
   take(&near, full_mesh ? near.size() : kNearTargets);
   take(&far, full_mesh ? far.size() : kFarTargets);
+  std::size_t tried = 0;
   for (auto& [address, next] : m_learned) {
     if (next > m_context->Now()) continue;
+    if (++tried > kMaxLearnedTargets) break;
     next = m_context->Now() + kLearnedRetry;
     out.push_back(address);
   }
@@ -82,13 +92,18 @@
 std::vector<peer::MemberRecord> MemberTable::PickRecords(
     const peer::MemberRecord& self) const {
   auto rows = Live();
-  // The news that is youngest here is the least likely to be known elsewhere.
+  // Half of them are the youngest news, the least likely to be known
+  // elsewhere; the rest are drawn, so that no host is passed over for ever.
   std::stable_sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) {
     return a.advanced > b.advanced;
   });
+  for (std::size_t i = kMaxRecords / 2; i < rows.size(); ++i) {
+    std::swap(rows[i], rows[i + m_context->Rng()->Below(rows.size() - i)]);
+  }
   std::vector<peer::MemberRecord> out{self};
+  const auto limit = rows.size() <= kFullMeshLimit ? kMeshRecords : kMaxRecords;
   for (const auto& row : rows) {
-    if (out.size() >= kMaxRecords) break;
+    if (out.size() >= limit) break;
     out.push_back(row.record);
   }
   return out;
@@ -99,8 +114,9 @@
   const auto now = m_context->Now();
   if (now < m_next_gossip) return;
   m_next_gossip = now + m_context->Options().gossip_interval;
+  const auto timeout = Timeout();
   std::erase_if(m_rows, [&](const auto& item) {
-    return now - item.second.advanced > kForgetAfter;
+    return now - item.second.advanced > kForgetAfter + 2 * timeout;
   });
   for (const auto& seed : m_context->Options().seeds) Learn(seed);
   self.heartbeat = ++m_heartbeat;
@@ -128,8 +144,14 @@
 bool MemberTable::IsLive(const HostId& host) const {
   if (host == m_context->Options().host) return true;
   const auto* row = Find(host);
-  return row != nullptr &&
-         m_context->Now() - row->advanced < m_context->Options().member_timeout;
+  return row != nullptr && m_context->Now() - row->advanced < Timeout();
+}
+
+Duration MemberTable::Timeout() const {
+  const Duration base = m_context->Options().member_timeout;
+  if (m_rows.size() <= kFullMeshLimit) return base;
+  const auto spread = kMissedRounds * m_rows.size() / kRecordsPerSecond;
+  return std::max<Duration>(base, std::chrono::seconds(spread));
 }
 
 const MemberRow* MemberTable::Find(const HostId& host) const {
--- a/Source/Control/member_table.h
+++ b/Source/Control/member_table.h
@@ -41,6 +41,8 @@
   std::string AddressOf(const HostId& host) const;
 
  private:
+  // Silence after which a host counts as gone.
+  Duration Timeout() const;
   std::vector<std::string> PickTargets();
   std::vector<peer::MemberRecord> PickRecords(
       const peer::MemberRecord& self) const;
--- a/Source/Control/seat_lease.cc
+++ b/Source/Control/seat_lease.cc
@@ -14,6 +14,7 @@
 constexpr Milliseconds kListWhenSeatless{1'000};
 constexpr Milliseconds kListWhenSeated{5'000};
 constexpr Milliseconds kReleaseTimeout{3'000};
+constexpr std::size_t kSeatsPerListStep = 40;
 constexpr Milliseconds kWriteRetry{1'000};
 constexpr Milliseconds kVouchAfter{5'000};
 constexpr std::size_t kMaxGuardRequests = 64;
@@ -70,7 +71,10 @@
 
 void SeatLease::RefreshRows() {
   const auto now = m_context->Now();
-  m_next_list = now + (m_held.empty() ? kListWhenSeatless : kListWhenSeated);
+  // The table is read as a whole, so a large one is read less often.
+  const auto scale = static_cast<int>(m_zones.size() / kSeatsPerListStep + 1);
+  m_next_list =
+      now + (m_held.empty() ? kListWhenSeatless : kListWhenSeated * scale);
   m_list_sent = now;
   m_listing = m_context->Call(platform::ListRows{std::string(kTable)});
 }
@@ -164,7 +168,8 @@
   const auto since = promised == m_promised.end()
                          ? row.unchanged_since + WithDrift(options.guard_lease)
                          : promised->second;
-  return now > since && !m_members->IsLive(row.holder);
+  // The holder speaks to its guard every second; its silence here is enough.
+  return now > since;
 }
 
 void SeatLease::TryAcquire() {
--- a/Source/Limits/unit_lease.cc
+++ b/Source/Limits/unit_lease.cc
@@ -8,11 +8,13 @@
 namespace tiller::limits {
 namespace {
 
-constexpr Milliseconds kLoanLifetime{2000};
-constexpr Milliseconds kRenewBefore{1000};
+// Short, so that a lost borrower costs its unit for a moment only.
+constexpr Milliseconds kLoanLifetime{500};
+constexpr Milliseconds kRenewBefore{250};
 constexpr Milliseconds kAnswerTimeout{200};
-// A borrowed unit without use goes back after this time.
-constexpr Milliseconds kReturnIdleAfter{20};
+// A borrowed unit without use goes back after this time; its owner can recall
+// it at any time before.
+constexpr Milliseconds kReturnIdleAfter{150};
 constexpr Milliseconds kAskInterval{10};
 constexpr std::size_t kMaxWaiting = 64;
 constexpr double kMaxClockDrift = 0.01;
