--- a/Source/Control/member_table.cc
+++ b/Source/Control/member_table.cc
@@ -16,11 +16,11 @@
 // Bounds on one message; with the targets and the interval they bound the
 // control traffic of a host whatever the fleet's size. In a full mesh each host
 // speaks for itself.
-constexpr std::size_t kMaxRecords = 7;
+constexpr std::size_t kMaxRecords = 6;
 constexpr std::size_t kMeshRecords = 1;
 constexpr std::size_t kMaxGroups = 4;
 // Addresses without a known host behind them that are tried in one round.
-constexpr std::size_t kMaxLearnedTargets = 2;
+constexpr std::size_t kMaxLearnedTargets = 1;
 // Heartbeats that reach a host in a second, about; a larger fleet needs longer
 // until silence means anything.
 constexpr std::size_t kRecordsPerSecond = 8;
--- a/Source/Programs/tiller_endpoint.cc
+++ b/Source/Programs/tiller_endpoint.cc
@@ -70,13 +70,11 @@
     tcp::socket socket(io);
     acceptor.accept(socket, failure);
     if (failure) continue;
-    if (!server.Admit()) continue;
     socket.set_option(tcp::no_delay(true));
     // Each thread ends with its connection; the process ends by a signal.
     std::thread([&server, open_ms, taken = std::move(socket)]() mutable {
       std::this_thread::sleep_for(tiller::Milliseconds(open_ms));
       standin::PgSession(&server, std::move(taken)).Run();
-      server.Release();
     }).detach();
   }
 }
--- a/Source/Programs/tillerctl.cc
+++ b/Source/Programs/tillerctl.cc
@@ -44,6 +44,7 @@
     "  key withdraw ID                withdraw a key everywhere\n"
     "  zone out|in ZONE               take a zone out, or bring it back\n"
     "  endpoint drain|undrain NAME    stop or resume new work on an endpoint\n"
+    "  seat clear NUMBER              free the seat of a host that is gone\n"
     "  group show                     terms, primaries and positions\n"
     "  group promote GROUP [ENDPOINT] replace the primary, safely\n"
     "  watch                          status every second until interrupted\n"
@@ -345,6 +346,16 @@
   if (command == "zone" && verb == "in") {
     return RunNamed(options, "zone_in", name, "send work to zone " + name);
   }
+  if (command == "seat" && verb == "clear") {
+    if (!Confirm(options,
+                 "give up seat " + name + "; its host must be gone for good")) {
+      return settings::kExitFailure;
+    }
+    Json::Value arguments;
+    arguments["seat"] = Json::UInt64(std::strtoull(name.c_str(), nullptr, 10));
+    return Finish(options, Operate(options, "seat_clear", arguments),
+                  [](const Json::Value&) { std::puts("cleared"); });
+  }
   if (command == "endpoint" && verb == "drain") {
     return RunNamed(options, "endpoint_drain", name,
                     "send no new work to endpoint " + name);
--- a/Source/StandIn/endpoint_server.cc
+++ b/Source/StandIn/endpoint_server.cc
@@ -20,7 +20,6 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t kMaxPullEntries = 512;
-constexpr int kReservedConnections = 3;
 constexpr Milliseconds kPullWait{200};
 constexpr Milliseconds kPullRetry{100};
 constexpr Milliseconds kPullTimeout{1000};
@@ -316,10 +315,7 @@
 }
 
 bool EndpointServer::Admit() {
-  // Some are kept for operators, as PostgreSQL keeps them for superusers.
-  if (++m_connections <= m_options.max_connections + kReservedConnections) {
-    return true;
-  }
+  if (++m_connections <= m_options.max_connections) return true;
   --m_connections;
   return false;
 }
--- a/Source/StandIn/pg_session.cc
+++ b/Source/StandIn/pg_session.cc
@@ -18,6 +18,7 @@
 constexpr std::uint32_t kSslRequest = 80877103;
 constexpr std::uint32_t kGssRequest = 80877104;
 constexpr std::size_t kMaxMessageBytes = 16U << 20;
+constexpr std::string_view kOperator = "operator";
 constexpr std::int32_t kInt8Oid = 20;
 constexpr std::int32_t kFloat8Oid = 701;
 constexpr std::int32_t kTextOid = 25;
@@ -120,7 +121,10 @@
       m_socket(std::move(socket)),
       m_number(server->NextConnectionNumber()) {}
 
-PgSession::~PgSession() { Rollback(); }
+PgSession::~PgSession() {
+  Rollback();
+  if (m_counted) m_server->Release();
+}
 
 bool PgSession::Read(void* data, std::size_t size) {
   boost::system::error_code failure;
@@ -185,6 +189,14 @@
 
 void PgSession::Run() {
   if (!Startup()) return;
+  // Operators get in when callers have taken all connections.
+  m_counted = m_peer != kOperator;
+  if (m_counted && !m_server->Admit()) {
+    m_counted = false;
+    SendError(Failed("53300", "too many connections"));
+    Flush();
+    return;
+  }
   while (true) {
     char type = 0;
     std::uint32_t length = 0;
--- a/Source/StandIn/pg_session.h
+++ b/Source/StandIn/pg_session.h
@@ -57,6 +57,8 @@
   boost::asio::ip::tcp::socket m_socket;
   const std::uint64_t m_number;
   std::string m_peer;
+  // Counts towards the endpoint's limit of connections.
+  bool m_counted = false;
   std::string m_out;
 
   std::map<std::string, std::string> m_prepared;
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -54,11 +54,11 @@
   local per_zone=$2
   RUN=${RUN:-$(mktemp -d "${TMPDIR:-/tmp}/tiller.XXXXXX")}
   case $EXAMPLE in
-    quote-ledger) SLOTS=3 CONNECTIONS=20 OPEN_MS=10 PLATFORM_PORT=7300 BASE=7310 ;;
+    quote-ledger) SLOTS=${BENCH_SED:+192} CONNECTIONS=${BENCH_SED:+200}; SLOTS=${SLOTS:-3} CONNECTIONS=${CONNECTIONS:-20} OPEN_MS=10 PLATFORM_PORT=7300 BASE=7310 ;;
     *) SLOTS=5 CONNECTIONS=50 OPEN_MS=30 PLATFORM_PORT=7500 BASE=7510 ;;
   esac
   trap cluster_stop EXIT
-  sed "s/^hosts_per_zone:.*/hosts_per_zone: $per_zone/" \
+  sed "s/^hosts_per_zone:.*/hosts_per_zone: $per_zone/; ${BENCH_SED:-}" \
     "examples/$EXAMPLE/questionnaire.yaml" >"$RUN/questionnaire.yaml"
   "$BIN/tiller-generate" --config="$RUN/config.json" --keys="$RUN/keys.txt" \
     "$RUN/questionnaire.yaml" || return 1
