--- a/Source/Common/crypto.cc
+++ b/Source/Common/crypto.cc
@@ -79,6 +79,10 @@
     count -= 8;
     out.push_back(static_cast<char>((bits >> count) & 255));
   }
+  // Each value has one text: no surplus characters, and no bits set past the
+  // last byte.
+  const bool surplus = count >= 6 || (bits & ((1U << count) - 1)) != 0;
+  if (surplus) return std::nullopt;
   return out;
 }
 
--- a/Source/Config/questionnaire.cc
+++ b/Source/Config/questionnaire.cc
@@ -40,7 +40,7 @@
   }
   double Number(const char* key, double fallback, bool required) {
     const auto value = Get(key);
-    if (!value.IsDefined() && !required) return fallback;
+    if (value.IsNull() && !required) return fallback;
     double out = 0;
     std::istringstream text(value.IsScalar() ? value.Scalar() : "");
     if (text >> out && text.eof() && out >= 0) return out;
@@ -58,8 +58,10 @@
   }
 
  private:
+  // A null node when there is no such answer.
   YAML::Node Get(const char* key) const {
-    return m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    if (!m_node.IsMap() || !m_node[key].IsDefined()) return YAML::Node();
+    return m_node[key];
   }
   void Report(const YAML::Node& at, const std::string& key,
               std::string detail) {
