--- /dev/null
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -0,0 +1,68 @@
+// Every message between hosts keeps its contents through JSON-RPC.
+#include "Peer/peer_messages.h"
+
+#include <gtest/gtest.h>
+
+#include "Common/json.h"
+#include "Peer/json_rpc.h"
+
+namespace tiller::peer {
+namespace {
+
+std::vector<Message> Samples() {
+  Json::Value config;
+  config["version"] = 3;
+  return {Gossip{{{"h1", "a:1", "z", 7, true, 4, 2}}, {{"g", 5, "e", "h2"}}},
+          GuardRequest{1},
+          GuardAck{2},
+          SeatVouchRequest{3},
+          SeatVouch{4, {0, 5}},
+          SeatTakeRequest{5, "h9"},
+          SeatTakeConsent{6, {1}},
+          ConfigQuery{7},
+          ConfigAnswer{8, 9, Milliseconds(10), true, {2, 3}},
+          ConfigFetch{},
+          ConfigBody{config},
+          ConfigPrepare{11},
+          ConfigPrepared{12, {4}},
+          limits::TokenRequest{"w", 13, 14, {15, 16}},
+          limits::TokenGrant{"w", 17, 18},
+          limits::UnitRequest{"e", 19, 20},
+          limits::UnitGrant{"e", 21, 22},
+          limits::UnitReturn{"e", 23},
+          limits::UnitRecall{"e", 24}};
+}
+
+TEST(PeerMessages, RoundTripThroughJsonRpc) {
+  ASSERT_EQ(Samples().size(), std::variant_size_v<Message>);
+  for (const auto& message : Samples()) {
+    RpcServer server;
+    Json::Value arrived;
+    server.AddNotification(
+        "deliver", [&](const Json::Value& body) { arrived = body; });
+    const auto sent = Encode({"h1", "a:1", message});
+    server.Handle(EncodeNotification("deliver", sent));
+    const auto decoded = Decode(arrived);
+    ASSERT_TRUE(decoded) << ToText(sent);
+    EXPECT_EQ(decoded.value().message.index(), message.index());
+    EXPECT_EQ(ToText(Encode(decoded.value())), ToText(sent));
+  }
+}
+
+TEST(JsonRpc, UnknownMethodsAndBadTextGetErrorObjects) {
+  RpcServer server;
+  server.AddMethod("echo", [](const Json::Value& body) { return body; });
+  const auto transport = [&](const std::string& text) {
+    return server.Handle(text);
+  };
+  Json::Value body;
+  body["a"] = 1;
+  EXPECT_EQ(CallMethod(transport, "echo", body).value["a"].asInt(), 1);
+  EXPECT_FALSE(CallMethod(transport, "missing", body).ok);
+  EXPECT_FALSE(
+      CallMethod([](const std::string&) { return ""; }, "echo", body).ok);
+  EXPECT_NE(server.Handle("{").find("error"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace tiller::peer
