Take a host that is cut from most primaries out of the balancer

Ruled out: refusing at once (callers inside the zone are better served by reads from its own replicas), and not ready whenever primaries are silent (a dead database would take all hosts out). Change: a host is not ready while most primaries do not answer it and another live host hears them; hosts tell each other how many they hear. The test support is split into a fleet, its exchanges and a cell's run.

--- a/Source/Control/control_core.cc
+++ b/Source/Control/control_core.cc
@@ -160,8 +160,10 @@
 
 peer::MemberRecord ControlCore::SelfRecord() const {
   const auto& options = m_context.Options();
-  return {options.host, options.address,    options.zone,       0,
-          m_draining,   m_config.Version(), m_seats.HeldCount()};
+  return {options.host,        options.address,
+          options.zone,        0,
+          m_draining,          m_config.Version(),
+          m_seats.HeldCount(), m_failover.ReachablePrimaries()};
 }
 
 bool ControlCore::ZoneOut() const {
@@ -176,9 +178,18 @@
                                  m_context.Options().zone_out_grace;
 }
 
+bool ControlCore::CutFromPrimaries() const {
+  const int groups = m_failover.GroupCount();
+  if (m_failover.ReachablePrimaries() * 2 >= groups) return false;
+  const auto live = m_members.Live();
+  return std::any_of(live.begin(), live.end(), [&](const auto& row) {
+    return row.record.primaries * 2 >= groups && !row.record.leaving;
+  });
+}
+
 bool ControlCore::Ready() const {
   return m_config.Current() != nullptr && !m_draining && !ZoneOut() &&
-         m_seats.View().valid_until > m_context.Now() &&
+         !CutFromPrimaries() && m_seats.View().valid_until > m_context.Now() &&
          m_config.KeysValidUntil() > m_context.Now();
 }
 
--- a/Source/Control/control_core.h
+++ b/Source/Control/control_core.h
@@ -46,6 +46,8 @@
   void PublishIfChanged();
   bool ZoneOut() const;
   bool ZoneClosed() const;
+  // Most primaries do not answer this host, but they do answer another one.
+  bool CutFromPrimaries() const;
   peer::MemberRecord SelfRecord() const;
   Json::Value Status() const;
   void ProposeEdit(const OperatorCommand& command, ConfigEdit edit);
--- a/Source/Control/failover.cc
+++ b/Source/Control/failover.cc
@@ -450,6 +450,17 @@
   return out;
 }
 
+int Failover::ReachablePrimaries() const {
+  const auto now = m_context->Now();
+  return static_cast<int>(
+      std::count_if(m_groups.begin(), m_groups.end(), [&](const auto& item) {
+        const auto& group = item.second;
+        const auto row = group.endpoints.find(group.record.primary);
+        return row != group.endpoints.end() && row->second.known &&
+               now - row->second.heard < kReportLifetime;
+      }));
+}
+
 Json::Value Failover::Describe() const {
   const auto now = m_context->Now();
   Json::Value out(Json::arrayValue);
--- a/Source/Control/failover.h
+++ b/Source/Control/failover.h
@@ -41,6 +41,9 @@
   void OnPause();
 
   std::vector<peer::GroupRecord> Records() const;
+  // Groups, and those whose primary answered this host lately.
+  int GroupCount() const { return static_cast<int>(m_groups.size()); }
+  int ReachablePrimaries() const;
   // True once after a primary changed.
   bool TakeChanged() { return std::exchange(m_changed, false); }
   Json::Value Describe() const;
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -45,6 +45,7 @@
   out["leaving"] = record.leaving;
   out["config"] = U(record.config_version);
   out["seats"] = record.seats;
+  out["primaries"] = record.primaries;
   return out;
 }
 
@@ -55,7 +56,8 @@
           UintOr(json, "heartbeat"),
           BoolOr(json, "leaving"),
           UintOr(json, "config"),
-          static_cast<int>(UintOr(json, "seats"))};
+          static_cast<int>(UintOr(json, "seats")),
+          static_cast<int>(UintOr(json, "primaries"))};
 }
 
 Json::Value ToJson(const GroupRecord& record) {
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -23,6 +23,8 @@
   bool leaving = false;
   config::ConfigVersion config_version = 0;
   int seats = 0;
+  // Groups whose primary answers it.
+  int primaries = 0;
 };
 
 // The primary of a group in a term, and the host that promoted it.
--- a/Source/UnitTests/Net/http_server_test.cc
+++ b/Source/UnitTests/Net/http_server_test.cc
@@ -51,8 +51,7 @@
       m_io.run_for(Milliseconds(2));
       char buffer[4096];
       boost::system::error_code failure;
-      const auto size =
-          socket->read_some(asio::buffer(buffer), failure);
+      const auto size = socket->read_some(asio::buffer(buffer), failure);
       out.append(buffer, size);
       if (failure == asio::error::eof) {
         m_closed = true;
@@ -81,8 +80,7 @@
   Send(&large, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
   EXPECT_NE(ReceiveUntil(&large, "too_large").find("413"), std::string::npos);
   auto header = Connect();
-  Send(&header,
-       "GET /a HTTP/1.1\r\nX: " + std::string(3000, 'y') + "\r\n\r\n");
+  Send(&header, "GET /a HTTP/1.1\r\nX: " + std::string(3000, 'y') + "\r\n\r\n");
   EXPECT_NE(ReceiveUntil(&header, "too_large").find("413"), std::string::npos);
   auto garbage = Connect();
   Send(&garbage, "\x16\x03\x01 nonsense\r\n\r\n");
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -12,7 +12,7 @@
 std::vector<Message> Samples() {
   Json::Value config;
   config["version"] = 3;
-  return {Gossip{{{"h1", "a:1", "z", 7, true, 4, 2}}, {{"g", 5, "e", "h2"}}},
+  return {Gossip{{{"h1", "a:1", "z", 7, true, 4, 2, 3}}, {{"g", 5, "e", "h2"}}},
           GuardRequest{1},
           GuardAck{2},
           SeatVouchRequest{3},
@@ -38,8 +38,8 @@
   for (const auto& message : Samples()) {
     RpcServer server;
     Json::Value arrived;
-    server.AddNotification(
-        "deliver", [&](const Json::Value& body) { arrived = body; });
+    server.AddNotification("deliver",
+                           [&](const Json::Value& body) { arrived = body; });
     const auto sent = Encode({"h1", "a:1", message});
     server.Handle(EncodeNotification("deliver", sent));
     const auto decoded = Decode(arrived);
--- /dev/null
+++ b/Source/UnitTests/Support/fleet_exchanges.cc
@@ -0,0 +1,287 @@
+// The fleet's exchanges: actions of the library carried over queues, with the
+// stages at which faults strike.
+#include <algorithm>
+#include <utility>
+
+#include "Common/json.h"
+#include "UnitTests/Support/fleet_state.h"
+
+namespace tiller::test {
+namespace {
+
+constexpr Milliseconds kPlatformHop{2};
+constexpr Milliseconds kOpenTime{10};
+constexpr Milliseconds kConnectTimeout{2000};
+constexpr Milliseconds kPlatformTimeout{1500};
+
+std::string KindOf(const std::vector<endpoint::Step>& steps) {
+  const auto has = [&](std::string_view sql) {
+    return std::any_of(steps.begin(), steps.end(),
+                       [&](const auto& step) { return step.sql == sql; });
+  };
+  if (has(endpoint::kClaimRecordSql)) return "claim";
+  if (has(endpoint::kStoreAnswerSql)) return "finish";
+  if (has(endpoint::kReadRecordSql)) return "lookup";
+  if (has(endpoint::kDiscardSql)) return "reset";
+  if (has(endpoint::kBeginSql) && has(endpoint::kCommitSql)) return "write";
+  if (has(endpoint::kBeginSql)) return "begin";
+  if (has(endpoint::kCommitSql)) return "commit";
+  if (has(kReadSql)) return "read";
+  if (has(kBumpSql)) return "statement";
+  return "probe";
+}
+
+}  // namespace
+
+void Fleet::Perform(int index, const control::Action& action) {
+  auto& host = *m_hosts[static_cast<std::size_t>(index)];
+  if (const auto* call = std::get_if<control::CallPlatform>(&action)) {
+    CallPlatform(index, *call);
+  } else if (const auto* send = std::get_if<control::SendPeer>(&action)) {
+    SendPeer(index, send->address, send->message);
+  } else if (const auto* group = std::get_if<control::CallGroup>(&action)) {
+    CallGroup(index, *group);
+  } else if (const auto* view = std::get_if<control::PublishView>(&action)) {
+    host.traffic->Handle(traffic::ViewChanged{view->view});
+  } else if (const auto* reply = std::get_if<control::OperatorReply>(&action)) {
+    const auto it = host.tickets.find(reply->ticket);
+    if (it == host.tickets.end()) return;
+    const auto handler = it->second;
+    host.tickets.erase(it);
+    handler(reply->result);
+  }
+}
+
+void Fleet::Perform(int index, const traffic::Action& action) {
+  auto& host = *m_hosts[static_cast<std::size_t>(index)];
+  if (const auto* reply = std::get_if<traffic::Reply>(&action)) {
+    const auto it = host.replies.find(reply->id);
+    if (it == host.replies.end()) return;
+    const auto handler = it->second;
+    host.replies.erase(it);
+    handler(*reply);
+  } else if (const auto* open = std::get_if<traffic::OpenConnection>(&action)) {
+    const auto id = open->connection;
+    const auto name = open->endpoint;
+    const bool reachable = Answers(name) && CanTalk(host.node, name);
+    // A dead process refuses; a cut or frozen one lets the attempt time out.
+    const bool refused = !m_endpoints[name]->alive && CanTalk(host.node, name);
+    After(reachable ? kOpenTime : (refused ? kHop : kConnectTimeout),
+          [this, index, id, name, reachable] {
+            if (reachable) {
+              m_endpoints[name]->connections[{index, id}] = {
+                  index, id, {}, false, true};
+            }
+            HandleTraffic(index, traffic::ConnectionOpened{id, reachable});
+          });
+  } else if (const auto* close =
+                 std::get_if<traffic::CloseConnection>(&action)) {
+    for (auto& [name, node] : m_endpoints) {
+      node->connections.erase({index, close->connection});
+    }
+  } else if (const auto* run = std::get_if<traffic::RunPipeline>(&action)) {
+    RunPipeline(index, *run);
+  } else if (const auto* heard = std::get_if<traffic::EndpointHeard>(&action)) {
+    host.control->Handle(*heard);
+  } else if (const auto* silent =
+                 std::get_if<traffic::EndpointSilent>(&action)) {
+    host.control->Handle(*silent);
+  } else if (const auto* share =
+                 std::get_if<traffic::SendShareMessage>(&action)) {
+    const auto address = host.control->Members().AddressOf(share->to);
+    std::visit([&](const auto& kind) { SendPeer(index, address, kind); },
+               share->message);
+  }
+}
+
+void Fleet::Strike(Stage stage, const std::string& kind,
+                   const std::string& endpoint) {
+  if (m_hook) m_hook(stage, kind, endpoint);
+}
+
+void Fleet::RunPipeline(int index, const traffic::RunPipeline& action) {
+  const auto kind = KindOf(action.steps);
+  EndpointId target;
+  for (auto& [name, node] : m_endpoints) {
+    if (node->connections.count({index, action.connection}) > 0) target = name;
+  }
+  Strike(Stage::kBeforeSend, kind, target);
+  const auto generation = action.generation;
+  // The caller's own timeout, unless an answer comes first.
+  After(action.timeout, [this, index, connection = action.connection,
+                         generation] {
+    HandleTraffic(
+        index,
+        traffic::PipelineDone{
+            connection, generation, traffic::PipelineFailure::kTimeout, {}});
+  });
+  if (target.empty()) {
+    After(kHop, [this, index, connection = action.connection, generation] {
+      HandleTraffic(
+          index,
+          traffic::PipelineDone{
+              connection, generation, traffic::PipelineFailure::kLost, {}});
+    });
+    return;
+  }
+  After(kHop, [this, index, action, kind] { Execute(index, action, kind); });
+}
+
+void Fleet::Execute(int index, const traffic::RunPipeline& action,
+                    const std::string& kind) {
+  for (auto& [name, node] : m_endpoints) {
+    if (node->connections.count({index, action.connection}) == 0) continue;
+    const auto endpoint = name;
+    Strike(Stage::kBeforeEffect, kind, endpoint);
+    const auto it = node->connections.find({index, action.connection});
+    if (it == node->connections.end()) return;
+    auto& connection = it->second;
+    if (!Answers(name) || !CanTalk(HostNode(index), name) ||
+        connection.silent) {
+      return;
+    }
+    if (kind != "probe" && kind != "reset") ++node->work;
+    for (const auto& step : action.steps) {
+      for (const auto& cell : step.parameters) {
+        if (cell && cell->find("key-of-") != std::string::npos) {
+          ++m_steps_with_key;
+        }
+      }
+    }
+    const auto outcome =
+        node->endpoint.Run(&connection.session, action.steps, Now());
+    Strike(Stage::kAfterEffect, kind, endpoint);
+    AwaitConfirm(name, outcome, Now() + Milliseconds(500),
+                 [this, index, action, kind,
+                  endpoint](std::vector<endpoint::StepResult> results) {
+                   FinishPipeline(
+                       index,
+                       {action.connection, action.generation,
+                        traffic::PipelineFailure::kNone, std::move(results)},
+                       kind, endpoint);
+                 });
+    return;
+  }
+}
+
+void Fleet::AwaitConfirm(
+    const EndpointId& name, const FakeEndpoint::Outcome& outcome, Instant limit,
+    std::function<void(std::vector<endpoint::StepResult>)> done) {
+  if (outcome.confirm_index < 0) return done(outcome.results);
+  if (!m_endpoints[name]->alive) return;
+  auto result = m_endpoints[name]->endpoint.TryConfirm(outcome, Now() >= limit);
+  if (result) {
+    auto results = outcome.results;
+    results[static_cast<std::size_t>(outcome.confirm_index)] = *result;
+    return done(std::move(results));
+  }
+  After(kStep, [=, this] { AwaitConfirm(name, outcome, limit, done); });
+}
+
+void Fleet::FinishPipeline(int index, traffic::PipelineDone done,
+                           const std::string& kind, const EndpointId& name) {
+  After(kHop, [this, index, done = std::move(done), kind, name] {
+    Strike(Stage::kBeforeAnswer, kind, name);
+    auto& node = *m_endpoints[name];
+    const auto it = node.connections.find({index, done.connection});
+    if (it == node.connections.end() || it->second.silent || !Answers(name) ||
+        !CanTalk(HostNode(index), name)) {
+      return;
+    }
+    HandleTraffic(index, done);
+    if (m_duplicate) HandleTraffic(index, done);
+  });
+}
+
+void Fleet::CallGroup(int index, const control::CallGroup& action) {
+  const auto kind = "group_call";
+  const auto name = action.endpoint;
+  auto answered = std::make_shared<bool>(false);
+  const auto finish = [this, index, id = action.id,
+                       answered](std::optional<endpoint::StepResult> result) {
+    if (std::exchange(*answered, true)) return;
+    HandleControl(index, control::GroupCallDone{id, std::move(result)});
+  };
+  Strike(Stage::kBeforeSend, kind, name);
+  After(action.timeout, [finish] { finish(std::nullopt); });
+  After(kOpenTime, [this, index, action, name, kind, finish] {
+    Strike(Stage::kBeforeEffect, kind, name);
+    if (!Answers(name) || !CanTalk(HostNode(index), name)) {
+      if (!m_endpoints[name]->alive) finish(std::nullopt);
+      return;
+    }
+    FakeEndpoint::Session session;
+    const auto outcome =
+        m_endpoints[name]->endpoint.Run(&session, {action.step}, Now());
+    Strike(Stage::kAfterEffect, kind, name);
+    After(kHop,
+          [this, index, name, kind, finish, result = outcome.results.front()] {
+            Strike(Stage::kBeforeAnswer, kind, name);
+            if (CanTalk(HostNode(index), name) && Answers(name)) finish(result);
+          });
+  });
+}
+
+void Fleet::CallPlatform(int index, const control::CallPlatform& action) {
+  const auto kind = "platform_call";
+  auto answered = std::make_shared<bool>(false);
+  const auto finish = [this, index, id = action.id,
+                       answered](Result<platform::Answer> answer) {
+    if (std::exchange(*answered, true)) return;
+    HandleControl(index, control::PlatformAnswered{id, std::move(answer)});
+  };
+  Strike(Stage::kBeforeSend, kind, "platform");
+  After(kPlatformTimeout, [finish] {
+    finish(MakeError(ErrorCode::kPlatformUnavailable, "timeout",
+                     RunOutcome::kUnknown));
+  });
+  After(kPlatformHop, [this, index, call = action.call, kind, finish] {
+    Strike(Stage::kBeforeEffect, kind, "platform");
+    if (!CanTalk(HostNode(index), "platform")) return;
+    if (m_platform_mode == PlatformMode::kDown) {
+      return finish(MakeError(ErrorCode::kPlatformUnavailable, "outage",
+                              RunOutcome::kUnknown));
+    }
+    m_store.SetNow(Now());
+    const auto answer = m_store.Execute(call);
+    Strike(Stage::kAfterEffect, kind, "platform");
+    const bool writes = std::holds_alternative<platform::CommitRows>(call) ||
+                        std::holds_alternative<platform::PutObject>(call);
+    if (m_platform_mode == PlatformMode::kLoseAnswers && writes) return;
+    After(kPlatformHop, [this, index, kind, answer, finish] {
+      Strike(Stage::kBeforeAnswer, kind, "platform");
+      if (CanTalk(HostNode(index), "platform")) finish(answer);
+    });
+  });
+}
+
+void Fleet::SendPeer(int index, const std::string& address,
+                     const peer::Message& message) {
+  const auto& from = *m_hosts[static_cast<std::size_t>(index)];
+  const peer::Envelope envelope{from.id, from.address, message};
+  const auto encoded = peer::Encode(envelope);
+  ++m_peer_messages;
+  m_peer_bytes += ToText(encoded).size();
+  const auto node = address.substr(0, address.find(':'));
+  After(kHop, [this, index, node, encoded] {
+    for (int i = 0; i < HostCount(); ++i) {
+      const auto& host = *m_hosts[static_cast<std::size_t>(i)];
+      if (host.node != node || !CanTalk(HostNode(index), node)) continue;
+      const auto arrived = peer::Decode(encoded);
+      if (!arrived) continue;
+      std::visit(
+          [&](const auto& kind) {
+            using Kind = std::decay_t<decltype(kind)>;
+            if constexpr (std::is_constructible_v<limits::ShareMessage, Kind>) {
+              HandleTraffic(
+                  i, traffic::ShareMessageArrived{arrived.value().from, kind});
+            } else {
+              HandleControl(i, control::PeerMessageArrived{arrived.value()});
+            }
+          },
+          arrived.value().message);
+    }
+  });
+}
+
+}  // namespace tiller::test
--- a/Source/UnitTests/Traffic/traffic_core_test.cc
+++ b/Source/UnitTests/Traffic/traffic_core_test.cc
@@ -147,6 +147,22 @@
   EXPECT_EQ(m_fleet.Endpoint(primary).Member().State().discarded, 1U);
 }
 
+TEST_F(TrafficTest, HostCutFromThePrimaryLeavesTheBalancer) {
+  int host = 0;
+  while (m_fleet.ZoneOf(host) == m_fleet.ZoneOfEndpoint(m_fleet.Primary())) {
+    ++host;
+  }
+  m_fleet.Cut(m_fleet.HostNode(host), {m_fleet.Primary()});
+  m_fleet.RunFor(seconds(5));
+  EXPECT_FALSE(m_fleet.Control(host).Ready());
+  EXPECT_TRUE(m_fleet.Control((host + 1) % 3).Ready());
+  // The others hear the primary, so nobody replaces it.
+  EXPECT_EQ(m_fleet.SumOf("failovers"), 1U);
+  m_fleet.Heal();
+  m_fleet.RunFor(seconds(5));
+  EXPECT_TRUE(m_fleet.Control(host).Ready());
+}
+
 TEST_F(TrafficTest, TransactionEndsWithItsKey) {
   auto begin = m_fleet.Bump("w2", "a");
   begin.kind = RequestKind::kBegin;
