--- a/Source/Load/load_report.cc
+++ b/Source/Load/load_report.cc
@@ -49,6 +49,7 @@
     return;
   }
   row.latencies_ms.push_back(ToMs(outcome.latency));
+  row.last_answered = std::max(row.last_answered, outcome.intended);
   if (outcome.latency <= m_on_time) {
     ++row.on_time;
     ++bucket.on_time;
@@ -98,6 +99,7 @@
     item["latency_p99_ms"] = Percentile(row.latencies_ms, 0.99);
     item["longest_write_gap_ms"] = ToMs(row.longest_write_gap);
     item["longest_write_gap_at_ms"] = ToMs(row.gap_began);
+    item["last_answered_ms"] = ToMs(row.last_answered);
     for (const auto& [code, count] : row.errors) {
       item["errors"][code] = Json::UInt64(count);
     }
--- a/Source/Load/load_report.h
+++ b/Source/Load/load_report.h
@@ -43,6 +43,8 @@
     std::uint64_t refused_rate = 0;
     std::map<std::string, std::uint64_t> errors;
     std::vector<double> latencies_ms;
+    // Latest intended start of an answered request.
+    Duration last_answered{};
     // Start of the oldest write that failed since the last acknowledged one.
     std::optional<Duration> oldest_failed_write;
     // Longest time from a write's intended start to the next acknowledgement.
--- a/Source/Load/load_runner.cc
+++ b/Source/Load/load_runner.cc
@@ -102,6 +102,7 @@
     }
   }
   out["sessions"] = Json::UInt64(m_sessions.size());
+  out["sessions_without_final_check"] = Json::UInt64(m_unchecked);
   return out;
 }
 
@@ -340,6 +341,14 @@
           return m_report.AddBreach(
               breach, session->model->Id() + " final " + answer.value().body());
         }
+        // A workspace whose key was withdrawn can't be asked any more.
+        const auto refusal = answer ? ParseJson(answer.value().body())
+                                    : Result<Json::Value>(answer.error());
+        if (refusal && StringOr(refusal.value(), "code") == "key_withdrawn") {
+          --m_in_flight;
+          ++m_unchecked;
+          return;
+        }
         if (tries < kFinalTries) {
           auto timer = std::make_shared<boost::asio::steady_timer>(
               *m_io, Milliseconds(100 * (tries + 1)));
--- a/Source/Load/load_runner.h
+++ b/Source/Load/load_runner.h
@@ -93,6 +93,7 @@
   std::vector<bool> m_ready;
   std::unique_ptr<boost::asio::steady_timer> m_ready_timer;
   std::uint64_t m_in_flight = 0;
+  std::uint64_t m_unchecked = 0;
   bool m_polling = true;
 };
 
--- a/Source/StandIn/endpoint_server.cc
+++ b/Source/StandIn/endpoint_server.cc
@@ -334,6 +334,11 @@
   m_changed.wait(lock, [&] { return !Silenced(peer, connection); });
 }
 
+bool EndpointServer::IsLost(std::uint64_t connection) const {
+  const std::scoped_lock lock(m_mutex);
+  return connection < m_faults.silent_before;
+}
+
 void EndpointServer::AcquireSlot() {
   std::unique_lock lock(m_mutex);
   m_changed.wait(lock, [this] { return m_free_slots > 0; });
--- a/Source/StandIn/endpoint_server.h
+++ b/Source/StandIn/endpoint_server.h
@@ -67,6 +67,8 @@
 
   // Blocks while the named peer may not be answered.
   void WaitWhileSilenced(const std::string& peer, std::uint64_t connection);
+  // Something on the way has lost track of this connection for good.
+  bool IsLost(std::uint64_t connection) const;
 
   void AcquireSlot();
   void ReleaseSlot();
--- a/Source/StandIn/pg_session.cc
+++ b/Source/StandIn/pg_session.cc
@@ -132,8 +132,18 @@
   return !failure;
 }
 
-bool PgSession::Flush() {
+// A server's keep-alive ends a connection that was lost on the way, so it no
+// longer counts; its other end just hears nothing.
+void PgSession::WaitWhileSilenced() {
+  if (m_counted && m_server->IsLost(m_number)) {
+    m_counted = false;
+    m_server->Release();
+  }
   m_server->WaitWhileSilenced(m_peer, m_number);
+}
+
+bool PgSession::Flush() {
+  WaitWhileSilenced();
   boost::system::error_code failure;
   boost::asio::write(m_socket, boost::asio::buffer(m_out), failure);
   m_out.clear();
@@ -205,7 +215,7 @@
     if (size < sizeof(length) || size > kMaxMessageBytes) return;
     std::string body(size - sizeof(length), '\0');
     if (!Read(body.data(), body.size())) return;
-    m_server->WaitWhileSilenced(m_peer, m_number);
+    WaitWhileSilenced();
     if (!HandleMessage(type, body)) return;
   }
 }
--- a/Source/StandIn/pg_session.h
+++ b/Source/StandIn/pg_session.h
@@ -51,6 +51,7 @@
   void SendReady();
   void Queue(char type, const std::string& body);
   bool Flush();
+  void WaitWhileSilenced();
   bool Read(void* data, std::size_t size);
 
   EndpointServer* const m_server;
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -58,6 +58,7 @@
     *) SLOTS=5 CONNECTIONS=50 OPEN_MS=30 PLATFORM_PORT=7500 BASE=7510 ;;
   esac
   trap cluster_stop EXIT
+  trap "exit 1" INT TERM
   sed "s/^hosts_per_zone:.*/hosts_per_zone: $per_zone/; ${BENCH_SED:-}" \
     "examples/$EXAMPLE/questionnaire.yaml" >"$RUN/questionnaire.yaml"
   "$BIN/tiller-generate" --config="$RUN/config.json" --keys="$RUN/keys.txt" \
