--- a/Source/UnitTests/Matrix/run_matrix.cc
+++ b/Source/UnitTests/Matrix/run_matrix.cc
@@ -37,11 +37,15 @@
   int seeds = 1;
   bool singles_only = false;
   bool pairs_only = false;
+  bool first_only = false;
+  int threads = 0;
   settings::CommandLine line("tiller-fault-matrix", "");
   line.Add("seed", &seed, "first seed");
   line.Add("seeds", &seeds, "number of seeds");
   line.AddFlag("singles", &singles_only, "only single faults");
   line.AddFlag("pairs", &pairs_only, "only pairs of faults");
+  line.Add("threads", &threads, "cells run at once; 0: one per processor");
+  line.AddFlag("first", &first_only, "stop at the first breach");
   line.Parse(argc, argv);
 
   std::vector<test::Cell> cells;
@@ -58,11 +62,13 @@
     }
   }
   std::atomic<std::size_t> next{0};
+  std::atomic<bool> found{false};
   std::mutex mutex;
   std::map<test::Fault, Totals> rows;
   std::vector<std::string> broken;
   const auto work = [&] {
     for (auto i = next++; i < cells.size(); i = next++) {
+      if (first_only && found) return;
       const auto result = test::RunCell(cells[i]);
       const std::scoped_lock lock(mutex);
       auto& row = rows[cells[i].first];
@@ -73,17 +79,20 @@
       row.unknown += result.unknown;
       for (const auto& breach : result.breaches) {
         ++row.breaches[breach.promise];
+        found = true;
         broken.push_back(
             std::string(NameOf(test::kPromiseNames, breach.promise)) + ": " +
             Describe(cells[i]) + ": " + breach.detail);
       }
     }
   };
-  std::vector<std::thread> threads;
-  const auto count = std::min<std::size_t>(
-      kMaxThreads, std::max(1U, std::thread::hardware_concurrency()));
-  for (std::size_t i = 0; i < count; ++i) threads.emplace_back(work);
-  for (auto& thread : threads) thread.join();
+  std::vector<std::thread> workers;
+  const auto processors =
+      std::max<std::size_t>(1, std::thread::hardware_concurrency());
+  const auto count = threads > 0 ? static_cast<std::size_t>(threads)
+                                 : std::min(kMaxThreads, processors);
+  for (std::size_t i = 0; i < count; ++i) workers.emplace_back(work);
+  for (auto& worker : workers) worker.join();
 
   std::printf("%-24s %6s %7s %9s %8s %8s  %s\n", "FAULT", "CELLS", "STRUCK",
               "ANSWERED", "REFUSED", "UNKNOWN", "BREACHES OF 12 PROMISES");
--- a/tools/mutations.sh
+++ b/tools/mutations.sh
@@ -10,7 +10,7 @@
 git archive HEAD | tar -x -C "$SCRATCH"
 cmake -S "$SCRATCH" -B "$SCRATCH/build" -G Ninja >/dev/null
 TARGETS="tiller-fault-matrix control_test traffic_test limits_test standin_test failover_model_test session_test"
-ninja -C "$SCRATCH/build" --quiet $TARGETS || exit 1
+ninja -C "$SCRATCH/build" -j "${JOBS:-4}" --quiet $TARGETS || exit 1
 caught=0 total=0
 while IFS= read -r line; do
   IFS=$'\x1f' read -r name file from to check <<<"${line//$'\t'/$'\x1f'}"
@@ -24,7 +24,7 @@
 if source not in text: sys.exit(1)
 open(sys.argv[1], "w").write(text.replace(source, target, 1))
 EOF
-  if ! ninja -C "$SCRATCH/build" --quiet $TARGETS >"$SCRATCH/log" 2>&1; then
+  if ! ninja -C "$SCRATCH/build" -j "${JOBS:-4}" --quiet $TARGETS >"$SCRATCH/log" 2>&1; then
     echo "BROKEN  $name (does not build)"
   elif (cd "$SCRATCH/build/Source/UnitTests" && RC_PARAMS="seed=20261204" timeout 300 $check >"$SCRATCH/log" 2>&1); then
     echo "MISSED  $name by $check"
