Ask replicas for their status only when no answer brought it

Cause: at 90 endpoints a host, five status questions a second to each would be the largest part of a host's own traffic, while answers carry the status anyway. Ruled out: a longer interval (it is what bounds the failover gap). Change: a replica heard of within the interval is not asked; the primary still is, since its confirmations date the replicas' data.

--- a/Source/StandIn/pg_session.cc
+++ b/Source/StandIn/pg_session.cc
@@ -132,12 +132,13 @@
   return !failure;
 }
 
-// A server's keep-alive ends a connection that was lost on the way, so it no
-// longer counts; its other end just hears nothing.
+// A server's keep-alive ends a connection that was lost on the way: it no
+// longer counts and holds no locks; its other end just hears nothing.
 void PgSession::WaitWhileSilenced() {
   if (m_counted && m_server->IsLost(m_number)) {
     m_counted = false;
     m_server->Release();
+    Rollback();
   }
   m_server->WaitWhileSilenced(m_peer, m_number);
 }
--- a/Source/Traffic/connection_flow.cc
+++ b/Source/Traffic/connection_flow.cc
@@ -135,6 +135,16 @@
   for (auto& [name, row] : m_endpoints.Endpoints()) {
     auto& next = m_next_probe[name];
     if (now < next) continue;
+    const auto* group = m_endpoints.FindGroup(row.group);
+    const bool primary = group != nullptr && group->primary == name;
+    // Answers carry the status too; only a primary is asked in any case, for
+    // its confirmations date the replicas' data.
+    const bool heard_lately =
+        row.status_known && now - row.heard < m_options.probe_interval;
+    if (!primary && heard_lately) {
+      next = row.heard + m_options.probe_interval;
+      continue;
+    }
     auto* connection = m_pool.TakeIdle(name);
     if (connection == nullptr) {
       if (m_pool.CountOf(name) > 0) continue;
@@ -144,8 +154,6 @@
       continue;
     }
     next = now + m_options.probe_interval;
-    const auto* group = m_endpoints.FindGroup(row.group);
-    const bool primary = group != nullptr && group->primary == name;
     connection->probing = true;
     connection->exchange_sent = now;
     ++connection->generation;
