Change guards without a gap; votes count from acquisition; return idle slots

Ruled out: fewer requests for units (they are what ends a wait). Change: the next guard is asked for its promise before it is named; a seat is new from its acquisition only; an idle unit goes back after 20 ms as before.

--- a/Source/Control/seat_lease.cc
+++ b/Source/Control/seat_lease.cc
@@ -16,6 +16,7 @@
 constexpr Milliseconds kReleaseTimeout{3'000};
 constexpr std::size_t kSeatsPerListStep = 40;
 constexpr Milliseconds kWriteRetry{1'000};
+constexpr Milliseconds kCandidatePatience{1'000};
 constexpr Milliseconds kVouchAfter{5'000};
 constexpr std::size_t kMaxGuardRequests = 64;
 
@@ -41,7 +42,11 @@
     if (lapsed) m_context->Stats()->Add("seats_lapsed");
     return lapsed;
   });
-  m_quorum.Update(m_zones.size(), View().held);
+  auto votes = View().held;
+  std::erase_if(votes, [&](int seat) {
+    return now - m_held[seat].acquired < SeatQuorum::kNewSeatSilence;
+  });
+  m_quorum.Update(m_zones.size(), std::move(votes));
   const bool renewals_fail =
       std::any_of(m_held.begin(), m_held.end(), [&](const auto& item) {
         return now - item.second.renewed >
@@ -125,8 +130,8 @@
     // An acquisition took effect although its answer was lost. The row may be
     // older than this host's lease allows, so it is renewed before use.
     if (mine && !m_releasing) {
-      m_held[seat] = {row.version, row.guard, Instant{}, Instant{},
-                      std::nullopt};
+      m_held[seat] = {row.version, row.guard, m_context->Now(),
+                      Instant{},   Instant{}, std::nullopt};
       Write(WriteKind::kRenew, seat, row.version, row.guard);
     }
     return;
@@ -247,6 +252,7 @@
   }
   auto& held = m_held[write.seat];
   if (write.kind == WriteKind::kAcquire) {
+    held.acquired = m_context->Now();
     m_context->Log(
         log::Channel::kLimits, log::Level::kInfo, "seat_acquired",
         {{"seat", std::to_string(write.seat)}, {"guard", write.guard}});
@@ -332,12 +338,14 @@
     if (now - row.last_seen > 2 * kListWhenSeated && !due) continue;
     // A guard in another zone is a makeshift from the start: a cut between the
     // zones would cost the seat.
-    const auto* guard = m_members->Find(held.guard);
+    const auto* current = m_members->Find(held.guard);
     const bool near =
-        guard != nullptr && guard->record.zone == m_context->Options().zone;
+        current != nullptr && current->record.zone == m_context->Options().zone;
     const bool keep = near && GuardAnswers(held);
-    Write(WriteKind::kRenew, seat, held.version,
-          keep ? held.guard : ChooseGuard());
+    const auto guard = keep ? held.guard : ChooseGuard();
+    const bool changes = guard != held.guard && !guard.empty();
+    if (changes && !IsAsked(guard)) continue;
+    Write(WriteKind::kRenew, seat, held.version, guard);
   }
   ReleaseExtra();
 }
@@ -386,11 +394,24 @@
   }
 }
 
+// True once the next guard has promised, or was asked for long enough.
+bool SeatLease::IsAsked(const HostId& candidate) {
+  const auto now = m_context->Now();
+  if (m_candidate != candidate) {
+    m_candidate = candidate;
+    m_candidate_since = now;
+    m_next_guard = Instant{};
+  }
+  return GuardedUntil(candidate) > now + m_context->Options().guard_renew ||
+         now - m_candidate_since > kCandidatePatience;
+}
+
 void SeatLease::RenewGuards() {
   const auto now = m_context->Now();
   if (now < m_next_guard) return;
   m_next_guard = now + m_context->Options().guard_renew;
   std::set<HostId> guards;
+  if (!m_candidate.empty()) guards.insert(m_candidate);
   for (const auto& [seat, held] : m_held) {
     if (!held.guard.empty()) guards.insert(held.guard);
     if (held.doubtful_guard && !held.doubtful_guard->empty()) {
--- a/Source/Control/seat_lease.h
+++ b/Source/Control/seat_lease.h
@@ -65,6 +65,8 @@
   struct HeldSeat {
     platform::RowVersion version = 0;
     HostId guard;
+    // When this host learned that the seat had become its own.
+    Instant acquired{};
     // Start of the last renewal that is known to have taken effect.
     Instant renewed{};
     // The lease as stretched by vouches. It is only ever stretched while it is
@@ -101,6 +103,7 @@
   bool GuardAlive(const HostId& guard) const;
   bool GuardAnswers(const HeldSeat& seat) const;
   void RenewGuards();
+  bool IsAsked(const HostId& candidate);
   Instant GuardedUntil(const HostId& guard) const;
   void Stretch(HeldSeat* seat);
   Instant LeasedUntil(const HeldSeat& seat) const;
@@ -119,6 +122,10 @@
   Instant m_list_sent{};
   Instant m_next_list{};
   Instant m_next_guard{};
+  // The guard that is to be named next, asked for its promise beforehand so
+  // that the change leaves no gap; and since when.
+  HostId m_candidate;
+  Instant m_candidate_since{};
   bool m_releasing = false;
   Instant m_release_deadline{};
   // Seats this host tried to take without learning the outcome, with the
--- a/Source/Control/seat_quorum.cc
+++ b/Source/Control/seat_quorum.cc
@@ -13,27 +13,10 @@
 // Consents have to be used while they stand.
 constexpr Milliseconds kConsentLifetime{5'000};
 constexpr Milliseconds kConsentHold{15'000};
-// The last holder of a new seat may have voted with it.
-constexpr Milliseconds kNewSeatSilence{5'000};
 constexpr std::size_t kMaxAsked = 8192;
 
 }  // namespace
 
-void SeatQuorum::Update(std::size_t seat_count, std::vector<int> usable) {
-  m_seat_count = seat_count;
-  for (const int seat : usable) {
-    const bool known =
-        std::find(m_usable.begin(), m_usable.end(), seat) != m_usable.end();
-    if (!known) m_usable_since = m_context->Now();
-  }
-  m_usable = std::move(usable);
-}
-
-bool SeatQuorum::MayVote() const {
-  return !m_usable.empty() &&
-         m_context->Now() - m_usable_since >= kNewSeatSilence;
-}
-
 std::string SeatQuorum::Remember(const HostId& host, const HostId& holder,
                                  std::uint64_t* nonce) {
   while (m_asked.size() >= kMaxAsked) m_asked.erase(m_asked.begin());
@@ -59,7 +42,7 @@
   for (const auto& [host, vote] : m_vouches) votes.push_back(&vote);
   std::sort(votes.begin(), votes.end(),
             [](const auto* a, const auto* b) { return a->asked > b->asked; });
-  std::set<int> seats(m_usable.begin(), m_usable.end());
+  std::set<int> seats(m_votes.begin(), m_votes.end());
   for (const auto* vote : votes) {
     seats.insert(vote->seats.begin(), vote->seats.end());
     if (IsMajority(seats)) return vote->asked + kVouchLifetime;
@@ -74,9 +57,9 @@
     return now - item.second.asked > kConsentLifetime;
   });
   std::set<int> seats;
-  if (MayVote() && m_vouched_for[holder] <= now) {
+  if (!m_votes.empty() && m_vouched_for[holder] <= now) {
     m_consented_against[holder] = now + kConsentHold;
-    seats.insert(m_usable.begin(), m_usable.end());
+    seats.insert(m_votes.begin(), m_votes.end());
   }
   for (const auto& [host, vote] : consents) {
     seats.insert(vote.seats.begin(), vote.seats.end());
@@ -98,13 +81,13 @@
                         const peer::SeatVouchRequest& message) {
   const auto now = m_context->Now();
   const auto against = m_consented_against.find(from);
-  if (!MayVote() ||
+  if (m_votes.empty() ||
       (against != m_consented_against.end() && against->second > now)) {
     return;
   }
   m_vouched_for[from] = now + WithDrift(kVouchLifetime);
   m_context->Send(m_members->AddressOf(from),
-                  peer::SeatVouch{message.nonce, m_usable});
+                  peer::SeatVouch{message.nonce, m_votes});
 }
 
 void SeatQuorum::Handle(const HostId& from, const peer::SeatVouch& message) {
@@ -120,13 +103,13 @@
 void SeatQuorum::Handle(const HostId& from,
                         const peer::SeatTakeRequest& message) {
   const auto now = m_context->Now();
-  if (!MayVote() || message.holder == m_context->Options().host ||
+  if (m_votes.empty() || message.holder == m_context->Options().host ||
       m_vouched_for[message.holder] > now) {
     return;
   }
   m_consented_against[message.holder] = now + kConsentHold;
   m_context->Send(m_members->AddressOf(from),
-                  peer::SeatTakeConsent{message.nonce, m_usable});
+                  peer::SeatTakeConsent{message.nonce, m_votes});
 }
 
 void SeatQuorum::Handle(const HostId& from,
--- a/Source/Control/seat_quorum.h
+++ b/Source/Control/seat_quorum.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Control/control_context.h"
@@ -23,12 +24,16 @@
   SeatQuorum(ControlContext* context, const MemberTable* members)
       : m_context(context), m_members(members) {}
 
-  // Seats that exist, and those that this host may use now.
-  void Update(std::size_t seat_count, std::vector<int> usable);
-  // Seats that vote through this host; none while they are new to it.
-  std::vector<int> Votes() const {
-    return MayVote() ? m_usable : std::vector<int>{};
+  // The last holder of a new seat may have voted with it, so a seat votes
+  // only once it has been held for this long.
+  static constexpr Milliseconds kNewSeatSilence{5'000};
+
+  // Seats that exist, and those that vote through this host now.
+  void Update(std::size_t seat_count, std::vector<int> votes) {
+    m_seat_count = seat_count;
+    m_votes = std::move(votes);
   }
+  const std::vector<int>& Votes() const { return m_votes; }
   // True for more than half of all seats.
   bool IsMajority(const std::set<int>& seats) const {
     return seats.size() * 2 > m_seat_count;
@@ -57,15 +62,13 @@
     HostId holder;  // empty: a vouch for this host
     Instant sent;
   };
-  bool MayVote() const;
   std::string Remember(const HostId& host, const HostId& holder,
                        std::uint64_t* nonce);
 
   ControlContext* const m_context;
   const MemberTable* const m_members;
   std::size_t m_seat_count = 0;
-  std::vector<int> m_usable;
-  Instant m_usable_since{};
+  std::vector<int> m_votes;
   Instant m_next_vouch{};
   std::map<HostId, Instant> m_next_consent;
   std::map<std::uint64_t, Asked> m_asked;
--- a/Source/Limits/unit_lease.cc
+++ b/Source/Limits/unit_lease.cc
@@ -14,7 +14,7 @@
 constexpr Milliseconds kAnswerTimeout{200};
 // A borrowed unit without use goes back after this time; its owner can recall
 // it at any time before.
-constexpr Milliseconds kReturnIdleAfter{150};
+constexpr Milliseconds kReturnIdleAfter{20};
 constexpr Milliseconds kAskInterval{10};
 constexpr std::size_t kMaxWaiting = 64;
 constexpr double kMaxClockDrift = 0.01;
--- a/tools/mutations.sh
+++ b/tools/mutations.sh
@@ -30,7 +30,7 @@
     echo "MISSED  $name by $check"
   else
     caught=$((caught + 1))
-    echo "caught  $name by ${check%% *}: $(grep -m1 -E 'BREACH|FAILED  \]' "$SCRATCH/log" | cut -c1-110)"
+    echo "caught  $name by ${check%% *}: $(grep -m1 -E '^BREACH |FAILED  \]' "$SCRATCH/log" | cut -c1-110)"
   fi
   cp "$SCRATCH/original" "$SCRATCH/$file"
 done <tools/mutations/list
