Test that an older configuration that arrives late is ignored

Cause: the mutation check removed the comparison of versions in adopting a configuration and nothing failed: no test brought an older one. Change: a test delivers version 1 to every host after version 2 is in force. Conclusion: kept; the mutation list names this test.

--- a/Source/UnitTests/Control/config_state_test.cc
+++ b/Source/UnitTests/Control/config_state_test.cc
@@ -133,6 +133,20 @@
   EXPECT_EQ(m_fleet.Control(fresh).Configuration().Version(), 1U);
 }
 
+TEST_F(ConfigStateTest, OlderConfigurationThatArrivesLateIsIgnored) {
+  const auto old =
+      config::ToJson(*m_fleet.Control(1).Configuration().Current());
+  const auto result = Withdraw(0, seconds(5));
+  ASSERT_TRUE(result && *result);
+  m_fleet.RunFor(seconds(1));
+  for (int i = 0; i < 6; ++i) {
+    m_fleet.Control(i).Handle(
+        control::PeerMessageArrived{{"h99", "host0:1", peer::ConfigBody{old}}});
+    EXPECT_EQ(m_fleet.Control(i).Configuration().Version(), 2U) << i;
+  }
+  EXPECT_EQ(Refusal(3, "w2"), ErrorCode::kKeyWithdrawn);
+}
+
 TEST_F(ConfigStateTest, BadConfigurationIsRefusedWithEveryFault) {
   auto json = config::ToJson(*m_fleet.Control(0).Configuration().Current());
   json["groups"][0]["slots"] = 0;
