Widen before multiplying in a test; let the mutation check be filtered

Cause: clang-tidy refused one line of the hostile input test, the only finding of the linters on a fresh clone. Change: the cast comes first; tools/mutations.sh takes a part of a line.

--- a/Source/UnitTests/Daemon/hostile_input_test.cc
+++ b/Source/UnitTests/Daemon/hostile_input_test.cc
@@ -135,8 +135,9 @@
     if (json) {
       EXPECT_FALSE(config::CheckConfig(json.value()).problems.empty());
     }
-    const auto made = config::GenerateConfig(
-        text, [](int bytes) { return std::string(bytes * 2, 'a'); });
+    const auto made = config::GenerateConfig(text, [](int bytes) {
+      return std::string(static_cast<std::size_t>(bytes) * 2, 'a');
+    });
     EXPECT_FALSE(made.problems.empty());
   });
 }
--- a/tools/mutations.sh
+++ b/tools/mutations.sh
@@ -2,7 +2,8 @@
 # Shows that the checks can fail: removes one mechanism at a time in a scratch
 # copy, builds the checks, and expects at least one of them to fail.
 # Each line of tools/mutations/list names it, a file, a text, its replacement
-# and the check that should catch it, between tabs.
+# and the check that should catch it, between tabs. An argument runs only the
+# mutations whose line contains it.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 SCRATCH=$(mktemp -d "${TMPDIR:-/tmp}/tiller.XXXXXX")
@@ -15,6 +16,7 @@
 while IFS= read -r line; do
   IFS=$'\x1f' read -r name file from to check <<<"${line//$'\t'/$'\x1f'}"
   [ -n "$name" ] || continue
+  case $line in *"${1:-}"*) ;; *) continue ;; esac
   total=$((total + 1))
   cp "$SCRATCH/$file" "$SCRATCH/original"
   FROM="$from" TO="$to" python3 - "$SCRATCH/$file" <<'EOF' || { echo "STALE   $name"; continue; }
