--- a/Source/Load/load_runner.h
+++ b/Source/Load/load_runner.h
@@ -1,5 +1,9 @@
 // Open-loop load: requests start at Poisson times whether or not earlier ones
 // have been answered, and latency counts from the intended start.
+//
+// quotes: Quote Request (write), Lookup (read), Rebate Check (strict read) and
+// a count of grants (list). bookings: booking, then check-ins (writes), rider
+// status (read), the newest status (strict read) and the trip's roster (list).
 #pragma once
 
 #include <boost/asio/io_context.hpp>
