Tell the control thread of an endpoint when there is news, not per answer

Cause: a profile of one host under small reads showed a message between the threads for each answer, with its wake-ups in the kernel. Ruled out: libpq and JSON (7 and 5 %). Change: the control part hears of a change of role, term or promise at once, and of signs of life every 50 ms.

--- a/Source/Routing/endpoint_table.h
+++ b/Source/Routing/endpoint_table.h
@@ -25,6 +25,7 @@
   endpoint::EndpointStatus status;
   bool status_known = false;
   Instant heard{};  // arrival of its last whole answer
+  Instant told{};   // the control part last learned of it
   // Consecutive exchanges without an answer.
   int failures = 0;
   Instant avoid_until{};
--- a/Source/Traffic/connection_flow.cc
+++ b/Source/Traffic/connection_flow.cc
@@ -7,6 +7,7 @@
 namespace tiller::traffic {
 namespace {
 
+constexpr Milliseconds kTellInterval{50};
 constexpr Milliseconds kResetTimeout{1000};
 constexpr Milliseconds kProbeConfirmLimit{300};
 
@@ -107,8 +108,19 @@
   const auto group = row->group;
   const auto* group_row = m_endpoints.FindGroup(group);
   const Term term_before = group_row == nullptr ? 0 : group_row->term;
-  m_endpoints.Observe(endpoint, status.value(), Now());
-  m_actions.push_back(EndpointHeard{endpoint, status.value()});
+  // The control part needs news at once, and signs of life now and then: a
+  // message between threads for each answer would cost more than it tells.
+  const auto& before = row->status;
+  const auto& now_said = status.value();
+  const bool news = before.role != now_said.role ||
+                    before.term != now_said.term ||
+                    before.fence_term != now_said.fence_term;
+  const bool due = Now() - row->told >= kTellInterval;
+  m_endpoints.Observe(endpoint, now_said, Now());
+  if (news || due) {
+    m_endpoints.Find(endpoint)->told = Now();
+    m_actions.push_back(EndpointHeard{endpoint, now_said});
+  }
   if (group_row != nullptr && group_row->term != term_before) {
     RerouteAfterTermChange(group);
   }
