Build a commit's pipeline and its limit of waiting in one place

Cause: reading the whole change again: three plans ended with the same commit, clean-up and confirmation, and three places worked out the same limit of waiting. Change: PlanBuilder::AddCommit and TrafficCore::ConfirmLimit; no behaviour. Looked at and left: readers of configuration parts and settings are alike in shape only.

--- a/Source/Traffic/retry_flow.cc
+++ b/Source/Traffic/retry_flow.cc
@@ -213,10 +213,7 @@
   // awaited for as long as the caller waits.
   const auto left = request->deadline - Now();
   request->plan = PlanKind::kConfirm;
-  RunOn(connection, request,
-        MakeConfirm(std::min<Milliseconds>(
-            m_options.confirm_limit, std::chrono::ceil<Milliseconds>(left))),
-        left);
+  RunOn(connection, request, MakeConfirm(ConfirmLimit(*request)), left);
 }
 
 void TrafficCore::FinishCommitted(Request* request, GroupPosition position) {
@@ -254,9 +251,7 @@
   request->pending_body =
       ResultJson(results, layout, request->call.kind == RequestKind::kBatch);
   request->plan = PlanKind::kFinish;
-  const auto limit = std::min<Milliseconds>(
-      m_options.confirm_limit,
-      std::chrono::ceil<Milliseconds>(request->deadline - Now()));
+  const auto limit = ConfirmLimit(*request);
   RunOn(
       connection, request,
       MakeFinish(*request->call.idempotency_key, request->pending_body, limit),
--- a/Source/Traffic/route_flow.cc
+++ b/Source/Traffic/route_flow.cc
@@ -171,9 +171,7 @@
 
 Plan TrafficCore::PlanFor(Request* request) {
   const auto& call = request->call;
-  const auto limit = std::min<Milliseconds>(
-      m_options.confirm_limit,
-      std::chrono::ceil<Milliseconds>(request->deadline - Now()));
+  const auto limit = ConfirmLimit(*request);
   switch (request->plan) {
     case PlanKind::kReplicaRead:
       return MakeReplicaRead(request->workspace, call.statements);
@@ -199,6 +197,12 @@
   }
 }
 
+Milliseconds TrafficCore::ConfirmLimit(const Request& request) const {
+  return std::min<Milliseconds>(
+      m_options.confirm_limit,
+      std::chrono::ceil<Milliseconds>(request.deadline - Now()));
+}
+
 Duration TrafficCore::AttemptTimeout(const Request& request,
                                      Instant now) const {
   const Duration left = request.deadline - now;
--- a/Source/Traffic/statement_plan.cc
+++ b/Source/Traffic/statement_plan.cc
@@ -36,6 +36,13 @@
     m_plan.layout.confirm = Add(endpoint::ConfirmStep(limit));
     Sync();
   }
+  // Commits, cleans up after a failure, and waits for a majority.
+  void AddCommit(Milliseconds confirm_limit) {
+    m_plan.layout.commit = Add(endpoint::PlainStep(endpoint::kCommitSql));
+    Sync();
+    AddCleanUp();
+    AddConfirm(confirm_limit);
+  }
   PlanLayout& Layout() { return m_plan.layout; }
   Plan Take() { return std::move(m_plan); }
 
@@ -138,11 +145,7 @@
   PlanBuilder builder;
   OpenWrite(workspace, term, &builder);
   builder.AddStatements(statements);
-  builder.Layout().commit =
-      builder.Add(endpoint::PlainStep(endpoint::kCommitSql));
-  builder.Sync();
-  builder.AddCleanUp();
-  builder.AddConfirm(confirm_limit);
+  builder.AddCommit(confirm_limit);
   return builder.Take();
 }
 
@@ -160,11 +163,7 @@
                 Milliseconds confirm_limit) {
   PlanBuilder builder;
   builder.Add({std::string(endpoint::kStoreAnswerSql), {key, answer}, false});
-  builder.Layout().commit =
-      builder.Add(endpoint::PlainStep(endpoint::kCommitSql));
-  builder.Sync();
-  builder.AddCleanUp();
-  builder.AddConfirm(confirm_limit);
+  builder.AddCommit(confirm_limit);
   return builder.Take();
 }
 
@@ -208,11 +207,7 @@
     builder.Add(
         {std::string(endpoint::kStoreAnswerSql), {record->key, answer}, false});
   }
-  builder.Layout().commit =
-      builder.Add(endpoint::PlainStep(endpoint::kCommitSql));
-  builder.Sync();
-  builder.AddCleanUp();
-  builder.AddConfirm(confirm_limit);
+  builder.AddCommit(confirm_limit);
   return builder.Take();
 }
 
--- a/Source/Traffic/traffic_core.h
+++ b/Source/Traffic/traffic_core.h
@@ -88,6 +88,8 @@
   void Dispatch(Request* request, Connection* connection);
   Plan PlanFor(Request* request);
   PlanKind KindOf(const Request& request) const;
+  // How long one wait for a majority may take: never past the deadline.
+  Milliseconds ConfirmLimit(const Request& request) const;
   Duration AttemptTimeout(const Request& request, Instant now) const;
   void RerouteAfterTermChange(const GroupId& group);
 
