--- a/Source/Common/log.cc
+++ b/Source/Common/log.cc
@@ -27,7 +27,8 @@
 class DescriptorAppender final : public log4cxx::AppenderSkeleton {
  public:
   DescriptorAppender(int descriptor, const log4cxx::LayoutPtr& layout)
-      : AppenderSkeleton(layout), m_descriptor(descriptor) {
+      : m_descriptor(descriptor), m_layout(layout) {
+    setLayout(layout);
     const int flags = fcntl(descriptor, F_GETFL);
     if (flags >= 0) fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
   }
@@ -43,7 +44,7 @@
       return;
     }
     log4cxx::LogString line;
-    getLayout()->format(line, event, pool);
+    m_layout->format(line, event, pool);
     Write(line);
   }
 
@@ -75,6 +76,7 @@
   }
 
   const int m_descriptor;
+  const log4cxx::LayoutPtr m_layout;
   std::int64_t m_second = 0;
   std::uint64_t m_lines = 0;     // in this second
   std::uint64_t m_left_out = 0;  // in this second
