Resume paused replicas only when the promoted endpoint leads; orders only under a fresh claim

Replicas paused for a promotion stayed paused, so that a leaving endpoint alone received; and a holder whose claim had lapsed resumed replicas that another host had just paused. Change: a job ends by resuming its replicas once the target leads; orders need a claim younger than 1.5 s, renewed in the store; a pause counts only above the newest term of the group; nothing is begun on tables that may be old.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kToldAtOnce = 3;
 // A table may have to be sent again if its copy was lost.
 constexpr Milliseconds kCopyEvery{400};
+// Time for changes that were missed to arrive after the store is back.
+constexpr Milliseconds kInformedAfter{400};
 
 }  // namespace
 
@@ -183,7 +185,11 @@
       turns[group] = m_seats.TurnFor(group);
     }
   }
-  // Endpoints must have been read: a group looks empty before.
+  // Endpoints must have been read: a group looks empty before, and its rows
+  // may be old right after the store was out of reach.
+  const auto now = m_clock->Now();
+  if (m_endpoints.Failing() || m_operator.Failing()) m_informed_from = now + kInformedAfter;
+  m_failover.SetInformed(now >= m_informed_from);
   if (m_endpoints.Loaded()) m_failover.Tick(turns);
   if (m_clock->Now() >= m_tell_at) TellPeers();
 }
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -65,6 +65,7 @@
   relay::DirectoryPtr m_directory;
   CallId m_next_call = 1;
   Instant m_tell_at{};
+  Instant m_informed_from{};
   std::map<std::string, Instant> m_copied;  // by address of a host
   std::vector<Action> m_actions;
 };
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -18,16 +18,29 @@
 constexpr std::size_t kMaxTurns = 8;
 // A group without any primary is given time for its reports to arrive.
 constexpr Milliseconds kNoPrimaryGrace{500};
+// At the first start, endpoints report within a few heartbeats.
+constexpr Milliseconds kFirstPrimaryGrace{4'000};
 // Another host's unfinished claim is respected for this long.
 constexpr StoreTime kClaimLease{2'500};
+// Orders are given under a claim no older than this: what is on its way then
+// arrives before another host may claim.
+constexpr Milliseconds kClaimFresh{1'500};
 constexpr Milliseconds kClaimTimeout{1'500};
 constexpr Milliseconds kPauseTimeout{900};
-constexpr int kMaxPauseAttempts = 4;
+constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetry{600};
 constexpr Milliseconds kPromoteGiveUp{12'000};
 // Promotion takes some hundred milliseconds, and its report one exchange more.
 constexpr Milliseconds kSettle{1'500};
 constexpr Milliseconds kBackoff{500};
+// The promoted endpoint reports itself within a second of the order.
+constexpr Milliseconds kResumeTimeout{6'000};
+constexpr Milliseconds kResumeRetry{400};
+// By then the host that changed a primary has resumed the replicas.
+constexpr Milliseconds kCheckClaimAfter{3'000};
+constexpr Milliseconds kCheckClaimTurn{500};
+constexpr std::size_t kCheckingHosts = 3;
+constexpr char kUnfinished[] = "unfinished";
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
                         StoreTime now, bool finished,
@@ -75,11 +88,20 @@
     if (job.stage == Stage::kPromoting) {
       if (now >= job.stage_until) {
         GiveUp(group, &job, "promotion got no answer");
-      } else if (now >= job.promote_again && !job.promote_outstanding) {
+      } else if (now >= job.promote_again && !job.promote_outstanding &&
+                 ClaimIsFresh(group, &job)) {
         SendPromote(group, &job);
       }
       continue;
     }
+    const auto turn = turns.find(group);
+    const std::size_t place =
+        std::min(turn == turns.end() ? kMaxTurns : turn->second, kMaxTurns);
+    NotePrimary(group, &job, place);
+    if (job.stage == Stage::kResuming) {
+      Resume(group, &job);
+      continue;
+    }
     if (job.stage == Stage::kPausing && now >= job.stage_until) {
       GiveUp(group, &job, "a replica did not answer");
       continue;
@@ -91,6 +113,11 @@
     const auto trigger = Trigger(group, job);
     if (trigger.empty()) {
       job.suspected_since = {};
+      if (job.check_claim_at && now >= *job.check_claim_at && !m_reading) {
+        job.check_claim_at.reset();
+        job.reason = kUnfinished;
+        StartRead(group, &job);
+      }
       continue;
     }
     if (job.suspected_since == Instant{}) {
@@ -105,13 +132,13 @@
                                       job.silent_for)
                                       .count())}});
     }
-    const auto turn = turns.find(group);
-    const std::size_t place =
-        std::min(turn == turns.end() ? kMaxTurns : turn->second, kMaxTurns);
-    const Duration grace =
-        trigger == "no_primary" ? Duration(kNoPrimaryGrace) : Duration{};
+    Duration grace{};
+    if (trigger == "no_primary") {
+      grace = job.known_primary.empty() ? kFirstPrimaryGrace : kNoPrimaryGrace;
+    }
     const auto start = job.suspected_since + grace + kTurn * place;
     if (now < start || now < job.not_before || m_reading) continue;
+    if (!m_informed) continue;
     job.reason = trigger;
     StartRead(group, &job);
   }
@@ -154,6 +181,10 @@
 void PrimaryFailover::OnClaimRead(const GroupId& group, Job* job,
                                   const Claim& claim, StoreTime now) {
   const bool others = claim.holder != m_self && !claim.holder.empty();
+  if (job->reason == kUnfinished && (claim.finished || claim.holder.empty())) {
+    job->stage = Stage::kIdle;
+    return;
+  }
   if (others && !claim.finished && now - claim.claimed < kClaimLease) {
     job->stage = Stage::kIdle;
     job->not_before = m_clock->Now() + kBackoff;
@@ -166,6 +197,7 @@
     return;
   }
   job->claim = {m_self, claim.token + 1, now, false, claim.version};
+  job->claim_sent = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_until = m_clock->Now() + kClaimTimeout;
   job->pending.push_back(
@@ -178,6 +210,7 @@
   for (auto& [group, job] : m_jobs) {
     if (job.call != event.call) continue;
     job.call = 0;
+    if (job.renewing) return OnRenewed(group, &job, event);
     if (job.stage != Stage::kClaiming) return;
     if (event.status != StoreStatus::kDone) {
       // A lost answer may have made the claim; the next read tells, and a new
@@ -191,52 +224,71 @@
                {{"group", group},
                 {"reason", job.reason},
                 {"token", std::to_string(job.claim.token)}});
-    job.pause_attempts = 0;
+    // The directory may have changed since the suspicion.
+    if (job.reason != kUnfinished && Trigger(group, job).empty()) {
+      job.target = m_directory->groups.at(group).primary;
+      return StartResume(group, &job);
+    }
+    if (job.reason == kUnfinished) {
+      job.target = m_directory->groups.at(group).primary;
+      return StartResume(group, &job);
+    }
     return StartPause(group, &job);
   }
 }
 
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
   job->stage = Stage::kPausing;
-  if (job->pause_attempts == 0) {
-    job->stage_until = m_clock->Now() + kPauseTimeout;
-    job->paused.clear();
-  }
-  ++job->pause_attempts;
-  job->pause_term = std::max(job->pause_term, job->newest_term) + 1;
+  job->stage_until = m_clock->Now() + kPauseTimeout;
+  job->paused.clear();
+  job->pause_refusals = 0;
   const auto& primary = m_directory->groups.at(group).primary;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     if (endpoint.group != group || id == primary) continue;
-    auto& answer = job->paused[id];
-    if (answer && answer->paused_below >= job->newest_term &&
-        answer->paused_below > 0) {
-      continue;
-    }
-    const auto admin = m_next_admin++;
-    m_admin[admin] = group;
-    m_out.push_back(relay::AdminRequest{admin, id, relay::Verb::kPause,
-                                        job->pause_term});
+    job->paused[id] = std::nullopt;
   }
-  if (job->paused.empty()) GiveUp(group, job, "no replica is listed");
+  if (job->paused.empty()) return GiveUp(group, job, "no replica is listed");
+  for (const auto& [id, answer] : job->paused) SendPause(group, id, job);
+}
+
+// A pause counts only above the newest term in the group: a replica that
+// missed a change of primary would go on to receive from the present one.
+void PrimaryFailover::SendPause(const GroupId& group,
+                                const EndpointId& endpoint, Job* job) {
+  job->pause_term = std::max(job->pause_term, job->newest_term + 1);
+  SendOrder(group, endpoint, relay::Verb::kPause, job->pause_term);
 }
 
 void PrimaryFailover::Handle(const relay::AdminDone& event) {
   const auto it = m_admin.find(event.id);
   if (it == m_admin.end()) return;
-  const auto group = it->second;
+  const auto order = it->second;
+  const auto& group = order.group;
   m_admin.erase(it);
   auto& job = m_jobs[group];
+  if (order.verb == relay::Verb::kContinue) {
+    if (event.answered && event.result.Ok()) {
+      job.to_resume.erase(event.endpoint);
+    }
+    return;
+  }
   if (job.stage != Stage::kPausing) return;
   const auto replica = job.paused.find(event.endpoint);
   if (replica == job.paused.end()) return;
   const auto& status = event.result.status;
-  if (event.answered && event.result.Ok() && status) {
+  if (status) {
     job.newest_term = std::max({job.newest_term, status->term,
                                 status->received.term});
-    if (status->paused_below > status->term) {
-      replica->second = status;
-      return Choose(group, &job);
+  }
+  if (event.answered && event.result.Ok() && status &&
+      status->paused_below > status->term) {
+    replica->second = status;
+    for (auto& [id, answer] : job.paused) {
+      if (!answer || answer->paused_below > job.newest_term) continue;
+      answer.reset();
+      SendPause(group, id, &job);
     }
+    return Choose(group, &job);
   }
   log::Event(
       log::Channel::kFailover, log::Level::kInfo, "pause_refused",
@@ -247,10 +299,10 @@
        {"term", status ? std::to_string(status->term) : "unknown"},
        {"held", status ? std::to_string(status->paused_below) : "unknown"},
        {"asked", std::to_string(job.pause_term)}});
-  if (job.pause_attempts >= kMaxPauseAttempts || !m_directory) {
+  if (++job.pause_refusals >= kMaxPauseRefusals) {
     return GiveUp(group, &job, "a replica did not pause");
   }
-  StartPause(group, &job);
+  SendPause(group, event.endpoint, &job);
 }
 
 // The highest position wins. Among equals, one that stays, in neither this
@@ -307,7 +359,15 @@
     if (job.stage != Stage::kPromoting) return;
     switch (event.status) {
       case PromoteStatus::kDone:
-        return Finish(group, &job);
+        m_counters->Add("failover_done");
+        log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_done",
+                   {{"group", group},
+                    {"target", job.target},
+                    {"token", std::to_string(job.claim.token)},
+                    {"reason", job.reason}});
+        m_promoted.emplace_back(group, job.target);
+        job.pause_term = 0;
+        return StartResume(group, &job);
       case PromoteStatus::kFenced:
         return GiveUp(group, &job, "fenced, or the target does not run");
       case PromoteStatus::kNotRun:
@@ -319,25 +379,133 @@
   }
 }
 
+// The promotion was ordered, or an unfinished one is taken over.
+void PrimaryFailover::StartResume(const GroupId& group, Job* job) {
+  job->stage = Stage::kResuming;
+  job->stage_until = m_clock->Now() + kResumeTimeout;
+  job->resume_again = m_clock->Now();
+  job->to_resume.clear();
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    const bool may_be_paused = job->paused.empty() || job->paused.count(id) > 0;
+    if (endpoint.group != group || id == job->target) continue;
+    if (may_be_paused) job->to_resume.insert(id);
+  }
+  job->paused.clear();
+  job->suspected_since = {};
+  job->silent_for = {};
+}
+
+void PrimaryFailover::Resume(const GroupId& group, Job* job) {
+  const auto now = m_clock->Now();
+  const bool leads = m_directory->groups.at(group).primary == job->target;
+  std::erase_if(job->to_resume, [&](const EndpointId& id) {
+    return m_directory->endpoints.count(id) == 0;
+  });
+  if (leads && job->to_resume.empty()) return Finish(group, job);
+  if (now >= job->stage_until) {
+    // Left unfinished: the next claim, here or elsewhere, goes on with it.
+    log::Event(log::Channel::kFailover, log::Level::kWarn,
+               "failover_unfinished",
+               {{"group", group},
+                {"target", job->target},
+                {"leads", leads ? "yes" : "no"},
+                {"paused", std::to_string(job->to_resume.size())}});
+    job->stage = Stage::kIdle;
+    job->check_claim_at = now + kCheckClaimAfter;
+    return;
+  }
+  if (!leads || now < job->resume_again) return;
+  if (!ClaimIsFresh(group, job)) return;
+  job->resume_again = now + kResumeRetry;
+  for (const auto& id : job->to_resume) {
+    SendOrder(group, id, relay::Verb::kContinue, 0);
+  }
+}
+
 void PrimaryFailover::Finish(const GroupId& group, Job* job) {
-  m_counters->Add("failover_done");
-  log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_done",
+  m_counters->Add("failover_finished");
+  log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_finished",
              {{"group", group},
               {"target", job->target},
-              {"token", std::to_string(job->claim.token)},
-              {"reason", job->reason}});
-  m_promoted.emplace_back(group, job->target);
+              {"token", std::to_string(job->claim.token)}});
   job->pending.push_back(
       WriteRow{0, kPrimaryTable, group,
                EncodeClaim(m_self, job->claim.token, job->claim.claimed, true,
                            job->target),
                job->claim.version});
   job->stage = Stage::kIdle;
-  job->suspected_since = {};
-  job->silent_for = {};
-  job->pause_term = 0;
-  job->not_before = m_clock->Now() + kSettle;
+  job->check_claim_at.reset();
+}
+
+// Another host may have changed the primary and died before its replicas went
+// on; a few hosts look for that.
+void PrimaryFailover::NotePrimary(const GroupId& group, Job* job,
+                                  std::size_t turn) {
+  const auto& primary = m_directory->groups.at(group).primary;
+  if (primary.empty() || primary == job->known_primary) return;
+  const bool changed = !job->known_primary.empty();
+  job->known_primary = primary;
+  if (!changed || job->stage == Stage::kResuming) return;
+  if (turn >= kCheckingHosts) return;
+  job->check_claim_at = m_clock->Now() + kCheckClaimAfter +
+                        kCheckClaimTurn * static_cast<int>(turn);
+}
+
+void PrimaryFailover::SendOrder(const GroupId& group,
+                                const EndpointId& endpoint, relay::Verb verb,
+                                Term term) {
+  const auto id = m_next_admin++;
+  m_admin[id] = {group, verb};
+  m_out.push_back(relay::AdminRequest{id, endpoint, verb, term});
+}
+
+bool PrimaryFailover::ClaimIsFresh(const GroupId& group, Job* job) {
+  const auto now = m_clock->Now();
+  if (job->renewing) return false;
+  if (now - job->claim_sent < kClaimFresh) return true;
+  job->renewing = true;
+  job->claim.claimed +=
+      std::chrono::duration_cast<StoreTime>(now - job->claim_sent);
+  job->claim_sent = now;
+  job->pending.push_back(
+      WriteRow{0, kPrimaryTable, group,
+               EncodeClaim(m_self, job->claim.token, job->claim.claimed, false,
+                           job->target),
+               job->claim.version});
+  return false;
+}
+
+void PrimaryFailover::OnRenewed(const GroupId& group, Job* job,
+                                const RowWritten& event) {
+  job->renewing = false;
+  if (event.status == StoreStatus::kDone) {
+    job->claim.version = event.version;
+    job->claim.claimed = event.now;
+    return;
+  }
+  if (event.status == StoreStatus::kNotRun) {
+    // Still the holder, as far as is known; the next order renews again.
+    job->claim_sent -= kClaimFresh;
+    return;
+  }
+  Abandon(group, job, "claim could not be renewed");
+}
+
+// Another host may act for the group now, so no order is given any more.
+void PrimaryFailover::Abandon(const GroupId& group, Job* job,
+                              const std::string& reason) {
+  m_counters->Add("failover_abandoned");
+  log::Event(log::Channel::kFailover, log::Level::kWarn, "failover_abandoned",
+             {{"group", group},
+              {"reason", reason},
+              {"token", std::to_string(job->claim.token)}});
   job->paused.clear();
+  job->to_resume.clear();
+  job->stage = Stage::kIdle;
+  job->renewing = false;
+  job->promote_outstanding = false;
+  job->not_before = m_clock->Now() + kBackoff;
+  job->check_claim_at = m_clock->Now() + kCheckClaimAfter;
 }
 
 void PrimaryFailover::GiveUp(const GroupId& group, Job* job,
@@ -347,11 +515,12 @@
              {{"group", group},
               {"reason", reason},
               {"token", std::to_string(job->claim.token)}});
+  if (!job->paused.empty() && m_clock->Now() - job->claim_sent > kClaimFresh) {
+    return Abandon(group, job, reason);
+  }
   for (const auto& [id, answer] : job->paused) {
     if (m_directory->endpoints.count(id) == 0) continue;
-    const auto admin = m_next_admin++;
-    m_out.push_back(
-        relay::AdminRequest{admin, id, relay::Verb::kContinue, 0});
+    SendOrder(group, id, relay::Verb::kContinue, 0);
   }
   job->paused.clear();
   job->stage = Stage::kIdle;
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -7,6 +7,12 @@
 // - An acknowledged commit is in the log of the primary and of one replica at
 //   least. All listed replicas are paused before their positions are compared,
 //   so nothing can be acknowledged that the highest of them lacks.
+// - Paused replicas go on only once the promoted endpoint leads: until then the
+//   old primary could still have commits acknowledged by them. A host that
+//   finds an unfinished claim after a change of primary finishes it.
+// - A claim is renewed before an order is given under it once it is no longer
+//   fresh, since another host may have taken it over meanwhile; a holder whose
+//   renewal fails gives no further order.
 // - A promotion without an answer is repeated unchanged until it is answered:
 //   it may be carried out late, and must find the replicas still paused.
 #pragma once
@@ -41,6 +47,8 @@
   void Handle(const TableRead& event);
   void Handle(const RowWritten& event);
   void Handle(const PromoteAnswered& event);
+  // False while the copies of the store's tables may be old: nothing is begun.
+  void SetInformed(bool informed) { m_informed = informed; }
   // `turn`: this host's place in the group's order; earlier ones act first.
   void Tick(const std::map<GroupId, std::size_t>& turns);
 
@@ -50,7 +58,14 @@
   std::vector<std::pair<GroupId, EndpointId>> TakePromoted();
 
  private:
-  enum class Stage { kIdle, kReading, kClaiming, kPausing, kPromoting };
+  enum class Stage {
+    kIdle,
+    kReading,
+    kClaiming,
+    kPausing,
+    kPromoting,
+    kResuming  // waits for the target to lead, then resumes the replicas
+  };
   struct Claim {
     HostId holder;
     std::uint64_t token = 0;
@@ -65,12 +80,21 @@
     Instant not_before{};
     Instant stage_until{};
     Claim claim;
+    // Own clock before the write that made or renewed the claim.
+    Instant claim_sent{};
+    bool renewing = false;
     CallId call = 0;
     // Replicas asked to pause, with their answer.
     std::map<EndpointId, std::optional<relay::EndpointStatus>> paused;
-    int pause_attempts = 0;
+    int pause_refusals = 0;
     Term pause_term = 0;
     EndpointId target;
+    // Replicas that have not confirmed that they go on.
+    std::set<EndpointId> to_resume;
+    Instant resume_again{};
+    // As last named by the directory, and when to look for an unfinished claim.
+    EndpointId known_primary;
+    std::optional<Instant> check_claim_at;
     Instant promote_again{};
     bool promote_outstanding = false;
     // From the health reports of the traffic part.
@@ -85,12 +109,20 @@
   void StartRead(const GroupId& group, Job* job);
   void OnClaimRead(const GroupId& group, Job* job, const Claim& claim,
                    StoreTime now);
+  // True if orders may be given now; else a renewal is under way.
+  bool ClaimIsFresh(const GroupId& group, Job* job);
+  void OnRenewed(const GroupId& group, Job* job, const RowWritten& event);
+  void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void StartPause(const GroupId& group, Job* job);
+  void SendPause(const GroupId& group, const EndpointId& endpoint, Job* job);
   void Choose(const GroupId& group, Job* job);
   void SendPromote(const GroupId& group, Job* job);
   // Lets paused replicas go on and waits before the next try.
   void GiveUp(const GroupId& group, Job* job, const std::string& reason);
+  void StartResume(const GroupId& group, Job* job);
+  void Resume(const GroupId& group, Job* job);
   void Finish(const GroupId& group, Job* job);
+  void NotePrimary(const GroupId& group, Job* job, std::size_t turn);
 
   const HostId m_self;
   const ZoneId m_zone;
@@ -98,9 +130,17 @@
   Counters* const m_counters;
   relay::DirectoryPtr m_directory;
   std::map<GroupId, Job> m_jobs;
-  std::map<std::uint64_t, GroupId> m_admin;
+  // Outstanding administrative statements.
+  struct Order {
+    GroupId group;
+    relay::Verb verb = relay::Verb::kStatus;
+  };
+  std::map<std::uint64_t, Order> m_admin;
+  void SendOrder(const GroupId& group, const EndpointId& endpoint,
+                 relay::Verb verb, Term term);
   std::uint64_t m_next_admin = 1;
   bool m_reading = false;
+  bool m_informed = false;
   std::vector<std::pair<GroupId, EndpointId>> m_promoted;
   std::vector<Action> m_out;
 };
