Borrow unused connections of other hosts; close idle ones beyond half the share

Change: a host opens up to twice its share when it must, backs off when the endpoint refuses, and closes connections idle for 200 ms beyond half its share.

--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -15,6 +15,15 @@
 constexpr Milliseconds kOpenLimit{700};
 constexpr Milliseconds kRollbackLimit{400};
 constexpr Milliseconds kAdminLimit{350};
+// Bounds what one host takes of an endpoint's connections while others leave
+// them unused.
+constexpr std::size_t kBorrowFactor = 2;
+constexpr std::size_t kBorrowExtra = 1;
+// Idle connections beyond this part of the host's share are closed after
+// kIdleKept. After a loss of power the endpoint counts the old connections
+// for some seconds more; what is kept free lets the host connect at once.
+constexpr double kIdleShare = 0.5;
+constexpr Milliseconds kIdleKept{200};
 
 }  // namespace
 
@@ -40,19 +49,57 @@
                     }));
 }
 
-bool RelayCore::CanOpen(const Endpoint& endpoint) const {
-  const auto health = m_health.find(endpoint.id);
-  if (health != m_health.end() && health->second.RefusesConnections(Now())) {
-    return false;
-  }
+std::size_t RelayCore::ShareAt(const Endpoint& endpoint) const {
   const auto group = m_directory->groups.find(endpoint.group);
-  if (group == m_directory->groups.end()) return false;
-  const std::size_t hosts = m_seats.zones.size();
+  if (group == m_directory->groups.end()) return 0;
   const std::size_t rank =
       m_seats.held.empty() ? 0 : static_cast<std::size_t>(m_seats.held[0]);
-  const auto share = HostShare(group->second.max_connections, hosts, rank,
-                               endpoint.id);
-  return ConnectionsAt(endpoint.id) < share;
+  return HostShare(group->second.max_connections, m_seats.zones.size(), rank,
+                   endpoint.id);
+}
+
+// A host may borrow what others do not use at the moment: the endpoint itself
+// refuses a connection too many, and nothing has run then.
+bool RelayCore::CanOpen(const Endpoint& endpoint) const {
+  const auto held = ConnectionsAt(endpoint.id);
+  const auto share = ShareAt(endpoint);
+  const auto health = m_health.find(endpoint.id);
+  if (health != m_health.end()) {
+    if (held >= share && health->second.RefusesConnections(Now())) return false;
+    if (health->second.RefusedJustNow(Now())) return false;
+  }
+  return held < share * kBorrowFactor + kBorrowExtra;
+}
+
+// Closes connections that have been idle for a while, so that other hosts, or
+// this one after a restart, find room at the endpoint.
+void RelayCore::TrimIdle() {
+  std::map<EndpointId, std::size_t> kept;
+  std::vector<ConnectionId> surplus;
+  std::vector<const Connection*> idle;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.state == ConnectionState::kIdle) idle.push_back(&connection);
+  }
+  std::sort(idle.begin(), idle.end(), [](const auto* a, const auto* b) {
+    return a->idle_since > b->idle_since;
+  });
+  for (const auto* connection : idle) {
+    const auto* endpoint = FindEndpoint(connection->endpoint);
+    const auto allowed =
+        endpoint == nullptr
+            ? 0
+            : std::max<std::size_t>(
+                  1, static_cast<std::size_t>(
+                         static_cast<double>(ShareAt(*endpoint)) *
+                         kIdleShare));
+    if (++kept[connection->endpoint] <= allowed) continue;
+    if (Now() - connection->idle_since < kIdleKept) continue;
+    surplus.push_back(connection->id);
+  }
+  for (const auto id : surplus) {
+    m_counters->Add("connections_trimmed");
+    CloseAndForget(id);
+  }
 }
 
 Connection* RelayCore::Open(const Endpoint& endpoint,
--- a/Source/Relay/endpoint_health.cc
+++ b/Source/Relay/endpoint_health.cc
@@ -14,6 +14,7 @@
 // Time for another host's idle connection to be closed or a dark host's
 // connections to be dropped.
 constexpr Milliseconds kConnectionLimitPause{150};
+constexpr Milliseconds kRefusedPause{30};
 // First pause after silence; doubled for each further failure.
 constexpr Milliseconds kSilentPause{150};
 constexpr Milliseconds kSilentPauseMax{1200};
@@ -49,6 +50,7 @@
 
 void EndpointHealth::ConnectionLimitReached(Instant now) {
   m_full_until = now + kConnectionLimitPause;
+  m_refused_until = now + kRefusedPause;
 }
 
 void EndpointHealth::Position(GroupPosition position,
--- a/Source/Relay/endpoint_health.h
+++ b/Source/Relay/endpoint_health.h
@@ -27,6 +27,8 @@
   // Nothing new should be sent while this holds.
   bool Avoided(Instant now) const { return now < m_avoid_until; }
   bool RefusesConnections(Instant now) const { return now < m_full_until; }
+  // Shorter: a host below its share asks again sooner.
+  bool RefusedJustNow(Instant now) const { return now < m_refused_until; }
   void ConnectionLimitReached(Instant now);
 
   Duration ResponseTime() const { return m_response; }
@@ -40,6 +42,7 @@
   Instant m_heard{};
   Instant m_avoid_until{};
   Instant m_full_until{};
+  Instant m_refused_until{};
   // Consecutive exchanges without an answer; 0 after any answer.
   int m_failures = 0;
   // Moving mean.
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -183,6 +183,7 @@
   if (!m_directory) return;
   ExpireIdleTransactions();
   for (const auto& [name, group] : m_directory->groups) PumpWaiters(name);
+  TrimIdle();
   ProbePrimaries();
   ReportPrimaries();
   if (m_drain_started) Drain();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -106,7 +106,9 @@
   // ---- connections (connection_flow.cc)
   Connection* IdleConnection(const EndpointId& endpoint,
                              const WorkspaceId& workspace);
+  std::size_t ShareAt(const Endpoint& endpoint) const;
   bool CanOpen(const Endpoint& endpoint) const;
+  void TrimIdle();
   std::size_t ConnectionsAt(const EndpointId& endpoint) const;
   Connection* Open(const Endpoint& endpoint, const WorkspaceId& workspace);
   bool EvictIdle(const EndpointId& endpoint);
