Leave the balancer when cut off, hold requests from a silent primary, restart with an allowance

Cause: after a loss of power hosts refused for want of tokens and of a directory; in a zone that is cut off callers waited for primaries out of reach; writes sent to a silent primary ended in doubt. Change: a seat that changes hands starts with part of the rate's tolerance; sessions wait for the first directory; a host that can't reach most primaries reports not ready, refuses at once and closes idle sessions; nothing new is sent to a primary that was silent for 300 ms; a token is waited for 20 ms.

--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -90,6 +90,12 @@
   bucket->level = std::clamp<MicroTokens>(
       bucket->level, 0,
       std::max<MicroTokens>(cap_of(kept) - Reserved(bucket, now), 0));
+  const auto allowance = static_cast<MicroTokens>(
+      bucket->limit.restart_allowance * per_seat *
+      static_cast<double>(held.size() - kept) * kMicroPerToken);
+  bucket->level = std::max(
+      bucket->level, std::min(bucket->level + allowance,
+                              bucket->cap - Reserved(bucket, now)));
   bucket->refilled = now;
 }
 
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -3,9 +3,10 @@
 // Each workspace's rate R and burst B are divided over its home seats. A seat
 // refills a bucket of B/M at R/M. Hosts move tokens between buckets on demand;
 // the sender debits first. At every instant, over all hosts:
-//   sum(levels) + sum(tokens in flight) <= B,
-// so in any window of length W at most B + R*W tokens are spent. A lost
-// message loses tokens; nothing creates them.
+//   sum(levels) + sum(tokens in flight) <= B + A,
+// so in any window of length W at most B + R*W + A tokens are spent, where A
+// is the allowance of the seats that changed hands in the window. A lost
+// message loses tokens; nothing else creates them.
 #pragma once
 
 #include <deque>
@@ -27,14 +28,18 @@
   WorkspaceId workspace;
   double rate = 0;   // tokens a second over all hosts
   double burst = 0;  // tokens
+  // Tokens that hosts may spend beyond the burst, if all of them restart, so
+  // that a restarted host need not refuse until its share has refilled.
+  double restart_allowance = 0;
 };
 
 class TokenShare {
  public:
   TokenShare(HostId self, Random* random, Counters* counters);
 
-  // Adopts limits and seats. A seat that is new to this host starts empty: its
-  // last holder may have spent its burst a moment ago.
+  // Adopts limits and seats. A seat that is new to this host starts with its
+  // part of the restart allowance only: its last holder may have spent its
+  // burst a moment ago.
   void Update(const std::vector<RateLimit>& limits, const SeatView& seats,
               Instant now);
 
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -25,6 +25,18 @@
 // new sessions; until then sessions are served as usual.
 constexpr Milliseconds kDrainServe{2300};
 constexpr Milliseconds kProbeLimit{350};
+// Nothing more is sent to a primary that was silent for this long: a write
+// would be in doubt, while a request that waits can still run elsewhere.
+constexpr Milliseconds kHoldAfter{300};
+// Part of the tolerance that restarts may use; all hosts may restart twice
+// within one window.
+constexpr double kRestartShare = 0.45;
+// Longer than a promotion takes, so that a lost primary is no reason to send
+// callers elsewhere.
+constexpr Milliseconds kUnreachableAfter{700};
+constexpr Milliseconds kCutOffAfter{300};
+// The balancer has noticed by then; sessions that are closed go elsewhere.
+constexpr Milliseconds kCutOffCloseAfter{2300};
 
 }  // namespace
 
@@ -92,13 +104,15 @@
   return endpoint;
 }
 
+bool RelayCore::PrimaryUsable(const GroupId& group) const {
+  return PrimaryOf(group) != nullptr &&
+         m_groups[group].silent_for < kHoldAfter;
+}
+
 void RelayCore::On(const DirectoryChanged& event) {
   const auto old = std::exchange(m_directory, event.directory);
-  std::vector<limits::RateLimit> rates;
-  for (const auto& [name, workspace] : m_directory->workspaces) {
-    rates.push_back({name, workspace.rate, workspace.burst});
-  }
-  m_tokens.Update(rates, m_seats, Now());
+  m_tokens.Update(RateLimits(), m_seats, Now());
+  for (const auto& early : std::exchange(m_early_sessions, {})) On(early);
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     if (endpoint.leaving) {
       m_leaving_since.try_emplace(id, Now());
@@ -137,13 +151,21 @@
 
 void RelayCore::On(const SeatsChanged& event) {
   m_seats = event.seats;
+  m_tokens.Update(RateLimits(), m_seats, Now());
+}
+
+std::vector<limits::RateLimit> RelayCore::RateLimits() const {
   std::vector<limits::RateLimit> rates;
-  if (m_directory) {
-    for (const auto& [name, workspace] : m_directory->workspaces) {
-      rates.push_back({name, workspace.rate, workspace.burst});
-    }
+  if (!m_directory) return rates;
+  for (const auto& [name, workspace] : m_directory->workspaces) {
+    const double window = m_settings.rate_window.count() * workspace.rate;
+    const double tolerance =
+        m_settings.rate_overage * (window + workspace.burst) +
+        m_settings.rate_slack;
+    rates.push_back({name, workspace.rate, workspace.burst,
+                     tolerance * kRestartShare});
   }
-  m_tokens.Update(rates, m_seats, Now());
+  return rates;
 }
 
 void RelayCore::On(const ShareReceived& event) {
@@ -186,6 +208,7 @@
   TrimIdle();
   ProbePrimaries();
   ReportPrimaries();
+  CheckReachability();
   if (m_drain_started) Drain();
 }
 
@@ -235,7 +258,7 @@
       continue;
     }
     const bool no_primary =
-        NeedsPrimary(*session) && PrimaryOf(session->route.group) == nullptr;
+        NeedsPrimary(*session) && !PrimaryUsable(session->route.group);
     if (session->state == TxState::kOpen) EndTransaction(session, TxState::kFailed);
     Refuse(session, Refusal::kBusy,
            no_primary ? "no primary, retry after 500 ms"
@@ -289,31 +312,8 @@
     const auto* primary = FindEndpoint(group.primary);
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
-    Instant waiting_since = Instant::max();
-    Instant write_since = Instant::max();
-    for (const auto& [id, connection] : m_connections) {
-      if (connection.endpoint != primary->id) continue;
-      if (connection.state != ConnectionState::kBusy &&
-          connection.state != ConnectionState::kOpening) {
-        continue;
-      }
-      waiting_since = std::min(waiting_since, connection.step_sent);
-      const bool write = connection.sent.verb == Verb::kWrite ||
-                         connection.sent.verb == Verb::kCommit;
-      if (connection.step == Step::kUser && write) {
-        write_since = std::min(write_since, connection.step_sent);
-      }
-    }
-    const auto& health = HealthOf(primary->id);
-    Duration silent{};
-    if (health.Failures() > 0) {
-      silent = Now() - health.LastHeard();
-    } else if (waiting_since < Now()) {
-      silent = Now() - std::max(waiting_since, health.LastHeard());
-    }
-    const bool stalled = write_since < Now() - kWriteStall &&
-                         state.last_write_answer < write_since;
-    if (stalled) silent = std::max<Duration>(silent, Now() - write_since);
+    const Duration silent = SilenceOf(name, primary->id);
+    state.silent_for = silent;
     const bool is_silent = silent > kReportSilence;
     if (!is_silent && !state.reported_silent) continue;
     if (is_silent && Now() - state.reported < kReportEvery) continue;
@@ -328,10 +328,74 @@
   }
 }
 
+// How long the primary has answered nothing although something was asked, or
+// no write although reads are answered.
+Duration RelayCore::SilenceOf(const GroupId& name, const EndpointId& primary) {
+  const auto& state = m_groups[name];
+  Instant waiting_since = Instant::max();
+  Instant write_since = Instant::max();
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != primary) continue;
+    if (connection.state != ConnectionState::kBusy &&
+        connection.state != ConnectionState::kOpening) {
+      continue;
+    }
+    waiting_since = std::min(waiting_since, connection.step_sent);
+    const bool write = connection.sent.verb == Verb::kWrite ||
+                       connection.sent.verb == Verb::kCommit;
+    if (connection.step == Step::kUser && write) {
+      write_since = std::min(write_since, connection.step_sent);
+    }
+  }
+  const auto& health = HealthOf(primary);
+  Duration silent{};
+  if (health.Failures() > 0) {
+    silent = Now() - health.LastHeard();
+  } else if (waiting_since < Now()) {
+    silent = Now() - std::max(waiting_since, health.LastHeard());
+  }
+  const bool stalled = write_since < Now() - kWriteStall &&
+                       state.last_write_answer < write_since;
+  if (stalled) silent = std::max<Duration>(silent, Now() - write_since);
+  return silent;
+}
+
+// A host that reaches few primaries serves little; the balancer should send
+// callers to another zone.
+void RelayCore::CheckReachability() {
+  std::size_t unreachable = 0;
+  for (const auto& [name, group] : m_directory->groups) {
+    const auto* primary = PrimaryOf(name);
+    if (primary == nullptr || m_groups[name].silent_for > kUnreachableAfter) {
+      ++unreachable;
+    }
+  }
+  const auto now = Now();
+  if (unreachable * 2 <= m_directory->groups.size()) {
+    m_unreachable_since.reset();
+  } else if (!m_unreachable_since) {
+    m_unreachable_since = now;
+  }
+  const bool cut_off =
+      m_unreachable_since && now - *m_unreachable_since >= kCutOffAfter;
+  if (cut_off != m_cut_off) {
+    m_cut_off = cut_off;
+    log::Event(log::Channel::kTraffic, log::Level::kWarn,
+               cut_off ? "cut_off" : "reachable_again",
+               {{"unreachable_groups", std::to_string(unreachable)},
+                {"groups", std::to_string(m_directory->groups.size())}});
+    m_actions.push_back(Reachability{cut_off});
+  }
+  if (cut_off && now - *m_unreachable_since >= kCutOffCloseAfter) CloseIdle();
+}
+
 // Sessions are closed between operations once the balancer has had time to
 // notice; transactions in progress may end first.
 void RelayCore::Drain() {
-  if (Now() - *m_drain_started < kDrainServe) return;
+  if (Now() - *m_drain_started >= kDrainServe) CloseIdle();
+}
+
+void RelayCore::CloseIdle() {
   std::vector<SessionId> idle;
   for (const auto& [id, session] : m_sessions) {
     if (session.request || session.state != TxState::kIdle) continue;
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -21,6 +21,11 @@
 struct RelaySettings {
   HostId host;
   ZoneId zone;
+  // Tolerance of the limit on rates: a workspace may exceed what its rate and
+  // burst allow in a window by a part of it and by some operations.
+  std::chrono::duration<double> rate_window{5};
+  double rate_overage = 0;
+  double rate_slack = 0;
 };
 
 class RelayCore {
@@ -134,8 +139,14 @@
   void ExpireIdleTransactions();
   void ProbePrimaries();
   void ReportPrimaries();
+  Duration SilenceOf(const GroupId& name, const EndpointId& primary);
+  void CheckReachability();
+  std::vector<limits::RateLimit> RateLimits() const;
   void Drain();
+  void CloseIdle();
   const Endpoint* PrimaryOf(const GroupId& group) const;
+  // It is known and answers.
+  bool PrimaryUsable(const GroupId& group) const;
   const Endpoint* FindEndpoint(const EndpointId& id) const;
   Session* FindSession(SessionId id);
   Connection* FindConnection(ConnectionId id);
@@ -159,6 +170,11 @@
   std::map<std::uint64_t, AdminJob> m_admin;
   ConnectionId m_next_connection = 1;
   std::optional<Instant> m_drain_started;
+  // Sessions that came before the first directory.
+  std::vector<SessionOpened> m_early_sessions;
+  // Most primaries are out of reach since then.
+  std::optional<Instant> m_unreachable_since;
+  bool m_cut_off = false;
   std::vector<Action> m_actions;
 };
 
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -125,8 +125,14 @@
   Term term = 0;  // newest term seen in the group
 };
 
+// Whether this host can reach most primaries; while it can't, callers are
+// better served elsewhere.
+struct Reachability {
+  bool cut_off = false;
+};
+
 using Action = std::variant<AcceptSession, RejectSession, Reply, CloseSession,
                             OpenConnection, CloseConnection, SendStatement,
-                            SendShare, AdminDone, PrimaryHealth>;
+                            SendShare, AdminDone, PrimaryHealth, Reachability>;
 
 }  // namespace tiller::relay
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -29,6 +29,9 @@
   // End of the phase: a wait is given up, a pause is over.
   Instant phase_until;
   int attempts = 0;
+  // When a connection began to work for it, and when its statement was sent.
+  Instant placed{};
+  Instant forwarded{};
   // Endpoints that could not serve it; tried again only when all are excluded.
   std::set<EndpointId> excluded;
   ConnectionId connection = 0;
@@ -117,6 +120,7 @@
   Instant last_write_answer{};
   Instant reported{};
   bool reported_silent = false;
+  Duration silent_for{};  // of the primary, as of the last tick
   Instant last_strict_use{};
 };
 
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -25,6 +25,11 @@
 // A retry that can't be answered within this time is not started.
 constexpr Milliseconds kRetryFloor{20};
 
+std::string Text(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
 }  // namespace
 
 bool RelayCore::IsWrite(const Session& session,
@@ -79,11 +84,7 @@
   auto& request = *session->request;
   const auto* primary = PrimaryOf(session->route.group);
   m_groups[session->route.group].last_strict_use = Now();
-  if (primary == nullptr) return false;
-  if (HealthOf(primary->id).Avoided(Now()) &&
-      HealthOf(primary->id).Failures() > 1) {
-    return false;
-  }
+  if (primary == nullptr || !PrimaryUsable(session->route.group)) return false;
   auto* connection = IdleConnection(primary->id, session->workspace);
   if (connection != nullptr) {
     StartOn(connection, session);
@@ -157,6 +158,7 @@
   connection->state = ConnectionState::kBusy;
   connection->user = session->id;
   request.phase = Phase::kRunning;
+  request.placed = Now();
   request.connection = connection->id;
   request.opening = 0;
   NextStep(connection);
@@ -222,6 +224,7 @@
 void RelayCore::SendUserStatement(Connection* connection, Session* session) {
   auto& request = *session->request;
   request.sent = true;
+  request.forwarded = Now();
   const bool read = !IsWrite(*session, request.statement) &&
                     request.statement.verb != Verb::kCommit;
   Duration limit = request.deadline - Now();
@@ -276,7 +279,10 @@
               {"workspace", session->workspace},
               {"endpoint", connection->endpoint},
               {"verb", std::string(NameOf(kVerbNames, verb))},
-              {"attempts", std::to_string(request.attempts + 1)}});
+              {"attempts", std::to_string(request.attempts + 1)},
+              {"wait_ms", Text(request.placed - request.arrived)},
+              {"align_ms", Text(request.forwarded - request.placed)},
+              {"run_ms", Text(Now() - request.forwarded)}});
   auto answer = result;
   if (verb == Verb::kCommit) {
     connection->in_transaction = false;
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -14,6 +14,9 @@
 // A request waits this share of its target latency for a token or a
 // connection before it is refused as busy.
 constexpr double kWaitShare = 0.5;
+// A loan of a token takes two exchanges between hosts; a longer wait would
+// only delay the caller's next try.
+constexpr Milliseconds kTokenWait{20};
 // While a primary is being replaced, a request waits this share of its limit:
 // long enough for a promotion, and short enough for the caller to retry.
 constexpr double kFailoverWaitShare = 0.45;
@@ -43,7 +46,11 @@
                 {"reason", reason}});
     m_actions.push_back(RejectSession{event.session, refusal, reason});
   };
-  if (!m_directory) return reject(Refusal::kBusy, "no configuration yet");
+  if (!m_directory) {
+    // Just started; the directory is some milliseconds away.
+    m_early_sessions.push_back(event);
+    return;
+  }
   const auto route = m_directory->routes.find(event.database);
   if (route == m_directory->routes.end()) {
     return reject(Refusal::kNoDatabase, "no such database");
@@ -148,8 +155,8 @@
   if (TakeToken(session)) return OperationAdmitted(session);
   request.phase = Phase::kToken;
   request.phase_until =
-      request.arrived + std::chrono::duration_cast<Duration>(
-                            session->route.target_latency * kWaitShare / 2);
+      request.arrived + std::min<Duration>(
+                            kTokenWait, session->route.target_latency / 4);
   m_tokens.Demand(session->workspace, 1, Now());
   TakeShareMessages();
 }
@@ -194,14 +201,21 @@
   }
   request.phase = Phase::kConnection;
   const bool no_primary =
-      NeedsPrimary(*session) && PrimaryOf(session->route.group) == nullptr;
+      NeedsPrimary(*session) && !PrimaryUsable(session->route.group);
+  if (m_cut_off && !Place(session)) {
+    if (session->request->opening == 0) {
+      return Refuse(session, Refusal::kBusy,
+                    "most primaries are out of reach, use another host");
+    }
+  }
+  if (!session->request || request.phase != Phase::kConnection) return;
   const Duration wait =
       no_primary ? std::chrono::duration_cast<Duration>(
                        session->route.statement_timeout * kFailoverWaitShare)
                  : std::chrono::duration_cast<Duration>(
                        session->route.target_latency * kWaitShare);
   request.phase_until = request.arrived + wait;
-  if (!Place(session)) m_counters->Add("requests_queued");
+  if (!m_cut_off && !Place(session)) m_counters->Add("requests_queued");
 }
 
 void RelayCore::HandleInTransaction(Session* session,
@@ -298,6 +312,9 @@
 void RelayCore::On(const SessionClosed& event) {
   auto* session = FindSession(event.session);
   if (session != nullptr) DropOrphan(session);
+  std::erase_if(m_early_sessions, [&](const SessionOpened& early) {
+    return early.session == event.session;
+  });
 }
 
 // The caller is gone. A statement in progress is left to finish, since its
--- a/Source/Settings/settings_table.cc
+++ b/Source/Settings/settings_table.cc
@@ -27,6 +27,16 @@
   return value;
 }
 
+std::optional<double> ToReal(const std::string& text) {
+  double value = 0;
+  const auto [end, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (failure != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::string Join(const std::vector<std::string>& items) {
   std::string out;
   for (const auto& item : items) out += (out.empty() ? "" : ", ") + item;
@@ -94,21 +104,30 @@
                     false});
 }
 
+void SettingsTable::Add(const std::string& key, double* value,
+                        const std::string& help) {
+  m_rows.push_back({key, "number", std::to_string(*value), help, false,
+                    [value](const auto& items) -> std::string {
+                      const auto number = ToReal(items.front());
+                      if (!number || !(*number >= 0)) {
+                        return "must be a number from 0 on";
+                      }
+                      *value = *number;
+                      return {};
+                    },
+                    false});
+}
+
 void SettingsTable::Add(const std::string& key,
                         std::chrono::duration<double>* value,
                         const std::string& help) {
   m_rows.push_back({key, "seconds", std::to_string(value->count()), help, false,
                     [value](const auto& items) -> std::string {
-                      double number = 0;
-                      const auto& text = items.front();
-                      const auto parsed = std::from_chars(
-                          text.data(), text.data() + text.size(), number);
-                      if (parsed.ec != std::errc() ||
-                          parsed.ptr != text.data() + text.size() ||
-                          !(number > 0) || number > kMaxSeconds) {
+                      const auto number = ToReal(items.front());
+                      if (!number || !(*number > 0) || *number > kMaxSeconds) {
                         return "must be seconds above 0, up to 86400";
                       }
-                      *value = std::chrono::duration<double>(number);
+                      *value = std::chrono::duration<double>(*number);
                       return {};
                     },
                     false});
--- a/Source/Settings/settings_table.h
+++ b/Source/Settings/settings_table.h
@@ -27,6 +27,8 @@
            const std::string& help);
   void Add(const std::string& key, std::uint16_t* value,
            const std::string& help);
+  // A number from 0 on.
+  void Add(const std::string& key, double* value, const std::string& help);
   // Whole or fractional seconds.
   void Add(const std::string& key, std::chrono::duration<double>* value,
            const std::string& help);
