--- /dev/null
+++ b/Source/UnitTests/Relay/placement_test.cc
@@ -0,0 +1,209 @@
+// Decisions about placing and waiting, each replayed with its load pattern.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <numeric>
+
+#include "Relay/connection_budget.h"
+#include "Relay/endpoint_choice.h"
+#include "Relay/endpoint_health.h"
+#include "Relay/position_marks.h"
+#include "Relay/wait_order.h"
+
+namespace tiller::relay {
+namespace {
+
+constexpr Instant kStart{std::chrono::hours(1)};
+
+Instant At(int milliseconds) { return kStart + Milliseconds(milliseconds); }
+
+// ---- connection budget
+
+TEST(ConnectionBudget, SharesNeverExceedTheEndpointsLimit) {
+  rc::check([] {
+    const auto limit = *rc::gen::inRange<std::size_t>(0, 400);
+    const auto hosts = *rc::gen::inRange<std::size_t>(1, 120);
+    const auto endpoint = *rc::gen::arbitrary<std::string>();
+    std::size_t sum = 0;
+    for (std::size_t rank = 0; rank < hosts; ++rank) {
+      sum += HostShare(limit, hosts, rank, endpoint);
+    }
+    RC_ASSERT(sum == limit);
+  });
+}
+
+// ---- order of waiting requests
+
+// Serves `waiters` with `slots` units of service a round and returns how many
+// rounds the last request of each workspace waited.
+std::map<WorkspaceId, int> Replay(std::vector<Waiter> waiters,
+                                  std::size_t slots, bool fair) {
+  std::map<WorkspaceId, int> waited;
+  for (int round = 0; !waiters.empty(); ++round) {
+    std::vector<std::uint64_t> order;
+    if (fair) {
+      order = PlacementOrder(waiters, {});
+    } else {
+      for (const auto& waiter : waiters) order.push_back(waiter.session);
+    }
+    order.resize(std::min(order.size(), slots));
+    for (const auto session : order) {
+      const auto it = std::find_if(
+          waiters.begin(), waiters.end(),
+          [&](const Waiter& waiter) { return waiter.session == session; });
+      waited[it->workspace] = round;
+      waiters.erase(it);
+    }
+  }
+  return waited;
+}
+
+TEST(WaitOrder, BacklogOfOneWorkspaceDelaysOnlyItself) {
+  // One workspace sends eight times what each of four others sends.
+  std::vector<Waiter> waiters;
+  std::uint64_t session = 0;
+  for (int i = 0; i < 64; ++i) waiters.push_back({++session, "hot", 1, At(i)});
+  for (const auto* name : {"a", "b", "c", "d"}) {
+    for (int i = 0; i < 8; ++i) {
+      waiters.push_back({++session, name, 1, At(64 + i)});
+    }
+  }
+  const auto fair = Replay(waiters, 4, true);
+  const auto naive = Replay(waiters, 4, false);
+  for (const auto* name : {"a", "b", "c", "d"}) {
+    EXPECT_LE(fair.at(name), 10) << name;
+    EXPECT_GE(naive.at(name), 16) << name;
+  }
+}
+
+TEST(WaitOrder, HigherPriorityOfOneWorkspaceGoesFirst) {
+  const auto order = PlacementOrder(
+      {{1, "w", 2, At(0)}, {2, "w", 1, At(5)}, {3, "w", 2, At(1)}}, {});
+  EXPECT_EQ(order, (std::vector<std::uint64_t>{2, 1, 3}));
+}
+
+TEST(WaitOrder, OccupiedConnectionsCount) {
+  const auto order =
+      PlacementOrder({{1, "busy", 1, At(0)}, {2, "idle", 1, At(9)}},
+                     {{"busy", 3}});
+  EXPECT_EQ(order.front(), 2U);
+}
+
+// ---- choice of an endpoint for a read
+
+ReadCandidate Candidate(const char* id) {
+  ReadCandidate out;
+  out.endpoint = id;
+  out.same_zone = true;
+  out.connection_ready = true;
+  out.connection_possible = true;
+  out.response_time = Milliseconds(20);
+  out.known_fresh = true;
+  out.likely_fresh = true;
+  out.slots = 3;
+  return out;
+}
+
+TEST(EndpointChoice, SlowReplicaGetsLessThanTheOthers) {
+  SeededRandom random(1);
+  std::vector<ReadCandidate> candidates = {Candidate("slow"), Candidate("b"),
+                                           Candidate("c")};
+  candidates[0].response_time = Milliseconds(100);
+  std::map<EndpointId, int> chosen;
+  for (int i = 0; i < 300; ++i) ++chosen[*ChooseForRead(candidates, &random)];
+  EXPECT_EQ(chosen["slow"], 0);
+  EXPECT_GT(chosen["b"], 75);
+  EXPECT_GT(chosen["c"], 75);
+}
+
+TEST(EndpointChoice, PrimaryIsUsedOnlyWhenReplicasCannotServe) {
+  SeededRandom random(1);
+  std::vector<ReadCandidate> candidates = {Candidate("p"), Candidate("r")};
+  candidates[0].primary = true;
+  EXPECT_EQ(ChooseForRead(candidates, &random), "r");
+  candidates[1].known_fresh = candidates[1].likely_fresh = false;
+  EXPECT_EQ(ChooseForRead(candidates, &random), "p");
+  candidates[0].connection_ready = candidates[0].connection_possible = false;
+  EXPECT_EQ(ChooseForRead(candidates, &random), std::nullopt);
+}
+
+TEST(EndpointChoice, OpenConnectionIsPreferredToANewOne) {
+  SeededRandom random(1);
+  std::vector<ReadCandidate> candidates = {Candidate("a"), Candidate("b")};
+  candidates[0].connection_ready = false;
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_EQ(ChooseForRead(candidates, &random), "b");
+  }
+}
+
+// ---- marks
+
+TEST(PositionMarks, OldestMarkThatIsYoungEnoughIsTheBound) {
+  PositionMarks marks;
+  marks.Add(At(0), {1, 10});
+  marks.Add(At(100), {1, 20});
+  marks.Add(At(200), {1, 30});
+  EXPECT_EQ(marks.AtLeast(At(50)), (GroupPosition{1, 20}));
+  EXPECT_EQ(marks.AtLeast(At(200)), (GroupPosition{1, 30}));
+  EXPECT_EQ(marks.AtLeast(At(201)), std::nullopt);
+  EXPECT_EQ(marks.FirstSeen({1, 15}), At(100));
+  EXPECT_EQ(marks.FirstAbove({1, 20}), At(200));
+  EXPECT_EQ(marks.FirstAbove({1, 30}), std::nullopt);
+}
+
+TEST(PositionMarks, AnswersThatWereOvertakenProveNothing) {
+  PositionMarks marks;
+  marks.Add(At(100), {2, 5});
+  marks.Add(At(150), {1, 90});  // an old primary's late answer
+  EXPECT_EQ(marks.AtLeast(At(150)), std::nullopt);
+  marks.Add(At(50), {2, 9});
+  EXPECT_EQ(marks.AtLeast(At(0)), (GroupPosition{2, 5}));
+}
+
+TEST(PositionMarks, BoundNeverLacksWhatWasAcknowledgedBefore) {
+  rc::check([] {
+    PositionMarks marks;
+    std::vector<std::pair<int, GroupPosition>> truth;
+    int now = 0;
+    GroupPosition position{1, 0};
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      now += *rc::gen::inRange(1, 200);
+      position.position += *rc::gen::inRange<std::uint64_t>(0, 3);
+      truth.emplace_back(now, position);
+      if (*rc::gen::arbitrary<bool>()) marks.Add(At(now), position);
+    }
+    const auto asked = *rc::gen::inRange(0, now + 1);
+    const auto bound = marks.AtLeast(At(asked));
+    if (!bound) return;
+    for (const auto& [at, acknowledged] : truth) {
+      if (at < asked) RC_ASSERT(acknowledged <= *bound);
+    }
+  });
+}
+
+// ---- health
+
+TEST(EndpointHealth, SilenceIsAvoidedLongerEachTime) {
+  EndpointHealth health;
+  health.Heard(At(0));
+  health.Silent(At(0));
+  EXPECT_TRUE(health.Avoided(At(149)));
+  EXPECT_FALSE(health.Avoided(At(150)));
+  health.Silent(At(150));
+  EXPECT_TRUE(health.Avoided(At(440)));
+  health.Heard(At(445));
+  EXPECT_FALSE(health.Avoided(At(446)));
+}
+
+TEST(EndpointHealth, HostBelowItsShareAsksAgainSooner) {
+  EndpointHealth health;
+  health.ConnectionLimitReached(At(0));
+  EXPECT_TRUE(health.RefusedJustNow(At(20)));
+  EXPECT_FALSE(health.RefusedJustNow(At(40)));
+  EXPECT_TRUE(health.RefusesConnections(At(40)));
+}
+
+}  // namespace
+}  // namespace tiller::relay
--- /dev/null
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -0,0 +1,458 @@
+// Sessions, transactions, retries and outcomes of the relay core.
+#include "Relay/relay_core.h"
+
+#include <gtest/gtest.h>
+
+#include "UnitTests/Support/relay_bench.h"
+
+namespace tiller::relay {
+namespace {
+
+// Lets a write run, which leaves a mark at its position.
+void Mark(RelayBench* bench) {
+  const auto session = bench->Open("own");
+  bench->Say(session, Verb::kWrite, "WRITE x 1");
+  bench->SucceedOwn();
+  bench->log.position += 1;
+  bench->Succeed("receipt");
+  ASSERT_TRUE(bench->Answer(session)->Ok());
+  bench->Handle(SessionClosed{session});
+}
+
+TEST(Sessions, UnknownDatabaseAndKeyAreRefused) {
+  RelayBench bench;
+  bench.Open("nothing");
+  bench.Open("strict", "k9");
+  EXPECT_EQ(bench.rejected.size(), 2U);
+}
+
+TEST(Sessions, SessionsBeforeTheFirstDirectoryWait) {
+  RelayBench bench;
+  RelayCore core({"h1", "z1"}, &bench.clock, &bench.random, &bench.counters);
+  core.Handle(SessionOpened{1, "strict", "k1"});
+  EXPECT_TRUE(core.TakeActions().empty());
+  core.Handle(DirectoryChanged{
+      std::make_shared<const Directory>(bench.MakeDirectory())});
+  const auto actions = core.TakeActions();
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<AcceptSession>(actions.front()));
+}
+
+TEST(Sessions, WithdrawnKeyEndsAtTheNextOperation) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  auto directory = bench.MakeDirectory();
+  directory.keys.erase("k1");
+  bench.Publish(directory);
+  bench.Say(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.Answer(session)->refusal, Refusal::kNoAuth);
+  EXPECT_TRUE(bench.Statements().empty());
+}
+
+TEST(Reads, StrictReadRunsInsideAPlainTransaction) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kRead, "READ a");
+  ASSERT_EQ(bench.Statements().size(), 1U);
+  EXPECT_EQ(bench.Statements()[0].endpoint, "p");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kBegin);
+  bench.Succeed();
+  EXPECT_EQ(bench.Statements()[0].statement.statement.text, "READ a");
+  EXPECT_EQ(bench.Statements()[0].statement.after, std::nullopt);
+  bench.Succeed("receipt");
+  EXPECT_EQ(bench.Answer(session)->text, "receipt");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kRollback);
+}
+
+TEST(Reads, DeposedPrimaryDoesNotServeAStrictRead) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.Refuse(Refusal::kReadOnly);
+  EXPECT_EQ(bench.Answer(session), std::nullopt);
+  ASSERT_FALSE(bench.health.empty());
+  EXPECT_TRUE(bench.health.back().deposed);
+  auto directory = bench.MakeDirectory();
+  directory.groups["g"].primary = "r1";
+  bench.Publish(directory);
+  ASSERT_TRUE(bench.NextAt("r1"));
+  EXPECT_EQ(bench.NextAt("r1")->statement.statement.verb, Verb::kBegin);
+}
+
+TEST(Reads, BoundedReadCarriesTheOldestMarkInItsBound) {
+  RelayBench bench;
+  Mark(&bench);
+  const auto first = bench.log;
+  bench.Tick(Milliseconds(300));
+  bench.SucceedOwn();
+  Mark(&bench);
+  const auto session = bench.Open("bounded");
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.SucceedOwn();
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_NE(bench.Statements()[0].endpoint, "p");
+  EXPECT_EQ(bench.Statements()[0].statement.after, first);
+}
+
+TEST(Reads, WithoutAYoungMarkTheLeaderItselfProves) {
+  RelayBench bench;
+  const auto session = bench.Open("bounded");
+  bench.Tick(std::chrono::seconds(3));
+  bench.Say(session, Verb::kRead, "READ a");
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_EQ(bench.Statements()[0].endpoint, "p");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kBegin);
+}
+
+TEST(Reads, SessionReadsItsOwnWrite) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.log.position = 500;
+  bench.Succeed("receipt");
+  bench.Answer(session);
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.SucceedOwn();
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_EQ(bench.Statements()[0].statement.after, (GroupPosition{1, 500}));
+}
+
+TEST(Reads, LaggingReplicaIsLeftForAnother) {
+  RelayBench bench;
+  Mark(&bench);
+  const auto session = bench.Open("bounded");
+  bench.Say(session, Verb::kRead, "READ a");
+  const auto first = bench.Statements()[0].endpoint;
+  bench.Refuse(Refusal::kLagging);
+  bench.SucceedOwn();
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_NE(bench.Statements()[0].endpoint, first);
+  bench.Succeed("receipt");
+  EXPECT_TRUE(bench.Answer(session)->Ok());
+}
+
+TEST(Reads, LostReadIsRepeatedElsewhere) {
+  RelayBench bench;
+  Mark(&bench);
+  const auto session = bench.Open("bounded");
+  bench.Say(session, Verb::kRead, "READ a");
+  const auto first = bench.Statements()[0].endpoint;
+  bench.LoseConnectionOfNext();
+  bench.SucceedOwn();
+  EXPECT_EQ(bench.Answer(session), std::nullopt);
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_NE(bench.Statements()[0].endpoint, first);
+}
+
+TEST(Reads, SilentReadIsGivenUpInTimeForAnother) {
+  RelayBench bench;
+  Mark(&bench);
+  const auto session = bench.Open("bounded");
+  bench.Say(session, Verb::kRead, "READ a");
+  const auto first = bench.Statements()[0].endpoint;
+  bench.Tick(Milliseconds(100));
+  bench.SucceedOwn();
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_NE(bench.Statements()[0].endpoint, first);
+  EXPECT_EQ(bench.Answer(session), std::nullopt);
+}
+
+TEST(Writes, LostWriteIsInDoubtAndNeverRepeated) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.LoseConnectionOfNext();
+  EXPECT_EQ(bench.Answer(session)->refusal, Refusal::kInDoubt);
+  bench.Tick(Milliseconds(50));
+  for (const auto& pending : bench.Statements()) {
+    EXPECT_NE(pending.statement.statement.verb, Verb::kWrite);
+  }
+}
+
+TEST(Writes, BusyEndpointHasNotRunItSoItIsRepeated) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.Refuse(Refusal::kBusy);
+  EXPECT_EQ(bench.Answer(session), std::nullopt);
+  bench.Tick(Milliseconds(20));
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kWrite);
+}
+
+TEST(Writes, NothingIsSentToASilentPrimary) {
+  RelayBench bench;
+  const auto first = bench.Open("strict");
+  bench.Say(first, Verb::kWrite, "WRITE a 1");
+  bench.Tick(Milliseconds(320));
+  const auto second = bench.Open("strict");
+  const auto before = bench.Statements().size();
+  bench.Say(second, Verb::kWrite, "WRITE b 2");
+  EXPECT_EQ(bench.Statements().size(), before);
+  // It runs as soon as another endpoint leads, and not before.
+  auto directory = bench.MakeDirectory();
+  directory.groups["g"].primary = "r1";
+  bench.Publish(directory);
+  ASSERT_TRUE(bench.NextAt("r1"));
+  EXPECT_EQ(bench.NextAt("r1")->statement.statement.text, "WRITE b 2");
+}
+
+TEST(Transactions, StatementsKeepTheirConnection) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  EXPECT_EQ(bench.Answer(session)->state, TxState::kOpen);
+  EXPECT_TRUE(bench.Statements().empty());
+  bench.Say(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kBegin);
+  bench.Succeed();
+  const auto connection = bench.Statements()[0].statement.connection;
+  bench.Succeed("receipt");
+  const auto other = bench.Open("own");
+  bench.Say(other, Verb::kWrite, "WRITE b 2");
+  EXPECT_NE(bench.Statements()[0].statement.connection, connection);
+  bench.Succeed("receipt");
+  bench.Say(session, Verb::kCommit, "COMMIT");
+  EXPECT_EQ(bench.Statements()[0].statement.connection, connection);
+  bench.Succeed("receipt");
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kIdle);
+}
+
+TEST(Transactions, LostConnectionAbortsWhatHasNotCommitted) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.SucceedOwn();
+  bench.Succeed("receipt");
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.LoseConnectionOfNext();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kFailed);
+  bench.Say(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kMalformed);
+  bench.Say(session, Verb::kRollback, "ROLLBACK");
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kIdle);
+}
+
+TEST(Transactions, LostCommitOfWritesIsInDoubt) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.SucceedOwn();
+  bench.Succeed("receipt");
+  bench.Say(session, Verb::kCommit, "COMMIT");
+  bench.LoseConnectionOfNext();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kInDoubt);
+}
+
+TEST(Transactions, LostCommitWithoutWritesKeepsNothing) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.SucceedOwn();
+  bench.Succeed("receipt");
+  bench.Say(session, Verb::kCommit, "COMMIT");
+  bench.LoseConnectionOfNext();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+}
+
+TEST(Transactions, IdleOneIsEndedAndSaidAtTheNextStatement) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.transaction_idle = Milliseconds(3000);
+  bench.Publish(directory);
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.SucceedOwn();
+  bench.Succeed("receipt");
+  bench.Tick(Milliseconds(3100));
+  EXPECT_EQ(bench.NextAt("p")->statement.statement.verb, Verb::kRollback);
+  bench.Say(session, Verb::kCommit, "COMMIT");
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+}
+
+TEST(Transactions, CallerThatLeavesIsRolledBack) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Say(session, Verb::kBegin, "BEGIN");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.SucceedOwn();
+  bench.Succeed("receipt");
+  bench.Handle(SessionClosed{session});
+  ASSERT_EQ(bench.Statements().size(), 1U);
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kRollback);
+}
+
+TEST(Alignment, ValuesAndNamesFollowTheSession) {
+  RelayBench bench;
+  const auto first = bench.Open("strict");
+  bench.Say(first, Verb::kSetOption, "SETOPT a 1", "a", "1");
+  bench.Say(first, Verb::kPrepareWrite, "PREPARE s WRITE q", "s", "q");
+  bench.Say(first, Verb::kExecute, "EXECUTE s k v", "s", "k v");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kSetOption);
+  bench.Succeed();
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb,
+            Verb::kPrepareWrite);
+  EXPECT_EQ(bench.Statements()[0].statement.statement.name, "w_q");
+  bench.Succeed();
+  EXPECT_EQ(bench.Statements()[0].statement.statement.name, "w_q");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.argument, "k v");
+  bench.Succeed("receipt");
+  // Another session without the value: nothing of the first is left.
+  const auto second = bench.Open("strict");
+  bench.Say(second, Verb::kWrite, "WRITE b 2");
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kDiscard);
+}
+
+TEST(Alignment, NameOfAnotherSessionIsUnknown) {
+  RelayBench bench;
+  const auto first = bench.Open("strict");
+  bench.Say(first, Verb::kPrepareRead, "PREPARE s READ q", "s", "q");
+  const auto second = bench.Open("strict");
+  bench.Say(second, Verb::kExecute, "EXECUTE s k", "s", "k");
+  EXPECT_EQ(bench.Answers()[second].back().refusal, Refusal::kNoStatement);
+}
+
+TEST(Connections, BelongToOneWorkspace) {
+  RelayBench bench;
+  const auto first = bench.Open("strict", "k1");
+  bench.Say(first, Verb::kWrite, "WRITE a 1");
+  bench.Succeed("receipt");
+  const auto second = bench.Open("strict", "k2");
+  bench.Say(second, Verb::kWrite, "WRITE b 2");
+  EXPECT_EQ(bench.Statements()[0].workspace, "w2");
+}
+
+TEST(Connections, IdleOneOfAnotherWorkspaceMakesRoom) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.groups["g"].max_connections = 1;
+  directory.workspaces["w3"] = {"w3", 1000, 1000};
+  directory.keys["k3"] = "w3";
+  directory.workspaces["w4"] = {"w4", 1000, 1000};
+  directory.keys["k4"] = "w4";
+  bench.Publish(directory);
+  for (const auto* key : {"k1", "k2", "k3", "k4"}) {
+    const auto session = bench.Open("strict", key);
+    bench.Say(session, Verb::kWrite, "WRITE a 1");
+    ASSERT_FALSE(bench.Statements().empty()) << key;
+    bench.Succeed("receipt");
+    EXPECT_TRUE(bench.Answer(session)->Ok()) << key;
+  }
+  // One, and twice the share plus one while others leave room.
+  EXPECT_LE(bench.OpenAt("p"), 3U);
+}
+
+// Load pattern: all hosts lose power while endpoints still count their
+// connections; what hosts kept closed is what they can open again.
+TEST(Connections, IdleOnesBeyondHalfTheShareAreClosed) {
+  RelayBench bench;
+  std::vector<SessionId> sessions;
+  for (int i = 0; i < 8; ++i) {
+    sessions.push_back(bench.Open("strict"));
+    bench.Say(sessions.back(), Verb::kWrite, "WRITE a 1");
+  }
+  EXPECT_EQ(bench.OpenAt("p"), 8U);
+  while (!bench.Statements().empty()) bench.Succeed("receipt");
+  bench.Tick(Milliseconds(250));
+  EXPECT_LE(bench.OpenAt("p"), 4U);
+}
+
+TEST(Connections, RefusedConnectionIsTriedAgainAndServesTheWaiter) {
+  RelayBench bench;
+  bench.refuse_connections = true;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  EXPECT_TRUE(bench.Statements().empty());
+  bench.refuse_connections = false;
+  bench.Tick(Milliseconds(40));
+  ASSERT_FALSE(bench.Statements().empty());
+  bench.Succeed("receipt");
+  EXPECT_TRUE(bench.Answer(session)->Ok());
+}
+
+TEST(Waiting, RequestWithoutAConnectionIsRefusedEarly) {
+  RelayBench bench;
+  bench.refuse_connections = true;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kWrite, "WRITE a 1");
+  bench.Tick(Milliseconds(110));
+  const auto answer = bench.Answer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+  EXPECT_NE(answer->text.find("retry after"), std::string::npos);
+}
+
+TEST(Limits, OperationBeyondTheRateIsRefusedAndNotSent) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.workspaces["w1"] = {"w1", 1, 2};
+  bench.Publish(directory);
+  bench.Tick(std::chrono::seconds(3));
+  int refused = 0;
+  for (int i = 0; i < 5; ++i) {
+    const auto session = bench.Open("strict");
+    bench.Say(session, Verb::kWrite, "WRITE a 1");
+    bench.Tick(Milliseconds(25));
+    const auto answer = bench.Answer(session);
+    refused += answer && answer->refusal == Refusal::kBusy ? 1 : 0;
+  }
+  EXPECT_GE(refused, 3);
+}
+
+// Load pattern: a zone is cut off from the primaries. Its callers are better
+// served by another zone, so nothing is held back here.
+TEST(Reachability, CutOffHostRefusesAtOnceAndSaysSo) {
+  RelayBench bench;
+  const auto first = bench.Open("strict");
+  bench.Say(first, Verb::kWrite, "WRITE a 1");
+  for (int i = 0; i < 60; ++i) bench.Tick(Milliseconds(20));
+  ASSERT_TRUE(bench.cut_off);
+  EXPECT_TRUE(*bench.cut_off);
+  const auto second = bench.Open("strict");
+  bench.Say(second, Verb::kWrite, "WRITE b 2");
+  ASSERT_TRUE(bench.Answer(second));
+  // It answers again: the host is of use again.
+  bench.SucceedOwn();
+  for (int i = 0; i < 40 && *bench.cut_off; ++i) {
+    bench.Tick(Milliseconds(20));
+    bench.SucceedOwn();
+  }
+  EXPECT_FALSE(*bench.cut_off);
+}
+
+TEST(Drain, IdleSessionsAreClosedAfterTheBalancerNoticed) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Handle(DrainStarted{});
+  bench.Tick(Milliseconds(1000));
+  EXPECT_TRUE(bench.closed.empty());
+  bench.Tick(Milliseconds(1400));
+  ASSERT_EQ(bench.closed.size(), 1U);
+  EXPECT_EQ(bench.closed[0], session);
+}
+
+TEST(Admin, PauseUsesAnyIdleConnection) {
+  RelayBench bench;
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  ASSERT_TRUE(bench.NextAt("r1"));
+  EXPECT_EQ(bench.NextAt("r1")->statement.term, 4U);
+  bench.Succeed();
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+}
+
+TEST(Admin, UnansweredOrderIsReported) {
+  RelayBench bench;
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  bench.Tick(Milliseconds(400));
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+}
+
+}  // namespace
+}  // namespace tiller::relay
--- /dev/null
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -0,0 +1,179 @@
+// Implementation of the relay's test bench.
+#include "UnitTests/Support/relay_bench.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tiller::relay {
+
+RelayBench::RelayBench()
+    : core({"h1", "z1"}, &clock, &random, &counters) {
+  limits::SeatView seats;
+  seats.holders = {"h1"};
+  seats.zones = {"z1"};
+  seats.held = {0};
+  seats.valid_until = clock.Now() + std::chrono::hours(1);
+  core.Handle(SeatsChanged{seats});
+  Publish(MakeDirectory());
+  Tick(std::chrono::seconds(5));
+}
+
+Directory RelayBench::MakeDirectory() const {
+  Directory out;
+  out.version = 1;
+  const auto add = [&](const std::string& name, RouteKind kind) {
+    Route route;
+    route.name = name;
+    route.database = name;
+    route.kind = kind;
+    route.group = "g";
+    route.statement_timeout = Milliseconds(800);
+    route.target_latency = Milliseconds(200);
+    route.max_staleness = Milliseconds(1500);
+    out.routes[name] = route;
+  };
+  add("strict", RouteKind::kPrimary);
+  add("bounded", RouteKind::kBoundedStaleness);
+  add("own", RouteKind::kReadYourWrites);
+  out.keys = {{"k1", "w1"}, {"k2", "w2"}};
+  out.workspaces["w1"] = {"w1", 1000, 1000};
+  out.workspaces["w2"] = {"w2", 1000, 1000};
+  out.groups["g"] = {"g", 8, true, "p"};
+  const auto endpoint = [&](const char* id, const char* zone, bool primary) {
+    out.endpoints[id] = {id,    "g",   std::string(id) + ":1", zone, primary,
+                         false, 3,     1};
+  };
+  endpoint("p", "z1", true);
+  endpoint("r1", "z1", false);
+  endpoint("r2", "z2", false);
+  return out;
+}
+
+void RelayBench::Publish(const Directory& directory) {
+  Handle(DirectoryChanged{std::make_shared<const Directory>(directory)});
+}
+
+SessionId RelayBench::Open(const std::string& database,
+                           const std::string& key) {
+  const auto id = m_next_session++;
+  Handle(SessionOpened{id, database, key});
+  return id;
+}
+
+void RelayBench::Say(SessionId session, Verb verb, const std::string& text,
+                     const std::string& name, const std::string& argument) {
+  Handle(StatementReceived{session, "q" + std::to_string(m_next_request++),
+                           {verb, text, name, argument}});
+}
+
+void RelayBench::Tick(Milliseconds by) {
+  clock.Advance(by);
+  Handle(TimerFired{});
+}
+
+void RelayBench::Handle(const Event& event) {
+  core.Handle(event);
+  Collect();
+}
+
+void RelayBench::Collect() {
+  if (m_collecting) return;
+  m_collecting = true;
+  for (auto actions = core.TakeActions(); !actions.empty();
+       actions = core.TakeActions()) {
+    for (const auto& action : actions) Take(action);
+  }
+  m_collecting = false;
+}
+
+void RelayBench::Take(const Action& action) {
+  if (const auto* reply = std::get_if<Reply>(&action)) {
+    m_answers[reply->session].push_back(reply->result);
+  } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+    if (refuse_connections || OpenAt(open->endpoint) >= endpoint_limit) {
+      core.Handle(ConnectionRefused{open->connection, Refusal::kTooMany, ""});
+      return;
+    }
+    m_connections[open->connection] = {open->endpoint, open->workspace};
+    core.Handle(ConnectionOpened{open->connection, log});
+  } else if (const auto* send = std::get_if<SendStatement>(&action)) {
+    const auto& held = m_connections.at(send->connection);
+    m_pending.push_back({*send, held.endpoint, held.workspace});
+  } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
+    m_connections.erase(close->connection);
+    std::erase_if(m_pending, [&](const Pending& pending) {
+      return pending.statement.connection == close->connection;
+    });
+  } else if (const auto* end = std::get_if<CloseSession>(&action)) {
+    closed.push_back(end->session);
+  } else if (const auto* reject = std::get_if<RejectSession>(&action)) {
+    rejected.push_back(reject->session);
+  } else if (const auto* done = std::get_if<AdminDone>(&action)) {
+    admin.push_back(*done);
+  } else if (const auto* news = std::get_if<PrimaryHealth>(&action)) {
+    health.push_back(*news);
+  } else if (const auto* reach = std::get_if<Reachability>(&action)) {
+    cut_off = reach->cut_off;
+  }
+}
+
+std::optional<RelayBench::Pending> RelayBench::NextAt(
+    const EndpointId& endpoint) const {
+  for (const auto& pending : m_pending) {
+    if (pending.endpoint == endpoint) return pending;
+  }
+  return std::nullopt;
+}
+
+void RelayBench::Succeed(const std::string& text,
+                         std::optional<GroupPosition> position) {
+  const auto pending = m_pending.front();
+  m_pending.erase(m_pending.begin());
+  StatementResult result;
+  result.text = text;
+  result.position = position.value_or(log);
+  Handle(StatementDone{pending.statement.connection, result});
+}
+
+void RelayBench::Refuse(Refusal refusal, TxState state) {
+  const auto pending = m_pending.front();
+  m_pending.erase(m_pending.begin());
+  StatementResult result;
+  result.refusal = refusal;
+  result.state = state;
+  result.position = log;
+  Handle(StatementDone{pending.statement.connection, result});
+}
+
+void RelayBench::SucceedOwn() {
+  while (!m_pending.empty() && m_pending.front().statement.id.empty()) {
+    Succeed();
+  }
+}
+
+void RelayBench::LoseConnectionOfNext() {
+  const auto id = m_pending.front().statement.connection;
+  m_connections.erase(id);
+  std::erase_if(m_pending, [&](const Pending& pending) {
+    return pending.statement.connection == id;
+  });
+  Handle(ConnectionLost{id, "reset"});
+}
+
+std::optional<StatementResult> RelayBench::Answer(SessionId session) {
+  auto& answers = m_answers[session];
+  if (answers.empty()) return std::nullopt;
+  auto out = answers.front();
+  answers.erase(answers.begin());
+  return out;
+}
+
+std::size_t RelayBench::OpenAt(const EndpointId& endpoint) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_connections.begin(), m_connections.end(),
+                    [&](const auto& item) {
+                      return item.second.endpoint == endpoint;
+                    }));
+}
+
+}  // namespace tiller::relay
