--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -110,6 +110,10 @@
   if (const auto* digest = std::get_if<peer::TableDigest>(&envelope.message)) {
     return OnDigest(envelope, *digest);
   }
+  if (const auto* request =
+          std::get_if<peer::StepDownRequest>(&envelope.message)) {
+    return m_failover.Handle(*request);
+  }
   if (const auto* copy = std::get_if<peer::TableCopy>(&envelope.message)) {
     return OnCopy(*copy);
   }
@@ -219,6 +223,11 @@
   for (auto& action : m_failover.TakeActions(&m_next_call)) {
     m_actions.push_back(std::move(action));
   }
+  for (const auto& request : m_failover.TakeForPeers()) {
+    for (const auto& peer : m_seats.Peers()) {
+      m_actions.push_back(SendPeer{peer.address, request});
+    }
+  }
   const auto promoted = m_failover.TakePromoted();
   for (const auto& [group, endpoint] : promoted) {
     m_builder.Expect(group, endpoint);
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -26,13 +26,23 @@
 // arrives before another host may claim.
 constexpr Milliseconds kClaimFresh{1'500};
 constexpr Milliseconds kClaimTimeout{1'500};
+constexpr Milliseconds kProbeTimeout{500};
 constexpr Milliseconds kPauseTimeout{900};
+constexpr Milliseconds kStepDownTimeout{400};
+// An exchange with another host, and one of that host with the primary.
+constexpr Milliseconds kSilentStepDownTimeout{50};
+// What the primary sent before it stepped down has arrived by then.
+constexpr Milliseconds kShippingTime{15};
+// After this many changes taken back, the best replica is promoted anyway.
+constexpr int kMaxReverted = 2;
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetry{600};
 constexpr Milliseconds kPromoteGiveUp{12'000};
 // Promotion takes some hundred milliseconds, and its report one exchange more.
 constexpr Milliseconds kSettle{1'500};
 constexpr Milliseconds kBackoff{500};
+// After giving up, the others try first.
+constexpr Milliseconds kGiveWay{1'200};
 // The promoted endpoint reports itself within a second of the order.
 constexpr Milliseconds kResumeTimeout{6'000};
 constexpr Milliseconds kResumeRetry{400};
@@ -41,6 +51,7 @@
 constexpr Milliseconds kCheckClaimTurn{500};
 constexpr std::size_t kCheckingHosts = 3;
 constexpr char kUnfinished[] = "unfinished";
+constexpr char kLeaving[] = "leaving";
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
                         StoreTime now, bool finished,
@@ -58,12 +69,30 @@
 
 void PrimaryFailover::SetDirectory(relay::DirectoryPtr directory) {
   m_directory = std::move(directory);
+  for (auto& [group, job] : m_jobs) PauseNewcomers(group, &job);
+}
+
+// A replica that appears meanwhile must not acknowledge for the old primary.
+void PrimaryFailover::PauseNewcomers(const GroupId& group, Job* job) {
+  const bool choosing =
+      job->stage == Stage::kPausing || job->stage == Stage::kPromoting;
+  const bool awaiting = job->stage == Stage::kResuming && !job->target.empty();
+  const auto row = m_directory->groups.find(group);
+  if ((!choosing && !awaiting) || row == m_directory->groups.end()) return;
+  if (awaiting && row->second.primary == job->target) return;
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    if (endpoint.group != group || job->seen.count(id) > 0) continue;
+    job->seen.insert(id);
+    if (job->stage == Stage::kPausing) job->paused[id] = std::nullopt;
+    job->to_resume.insert(id);
+    SendPause(group, id, job);
+  }
 }
 
 void PrimaryFailover::Handle(const relay::PrimaryHealth& event) {
   auto& job = m_jobs[event.group];
   job.newest_term = std::max(job.newest_term, event.term);
-  if (event.deposed) return;
+  if (event.deposed || event.endpoint.empty()) return;
   job.silent_for = event.silent_for;
   job.silent_endpoint = event.endpoint;
 }
@@ -73,7 +102,7 @@
   const auto& row = m_directory->groups.at(group);
   const auto primary = m_directory->endpoints.find(row.primary);
   if (primary == m_directory->endpoints.end()) return "no_primary";
-  if (primary->second.leaving) return "leaving";
+  if (primary->second.leaving) return kLeaving;
   if (job.silent_endpoint == row.primary && job.silent_for >= kSuspectAfter) {
     return "silent";
   }
@@ -102,12 +131,21 @@
       Resume(group, &job);
       continue;
     }
+    if (job.stage == Stage::kSteppingDown) {
+      const bool shipped = job.stepped_down_at && now >= job.pause_from;
+      if (shipped || now >= job.stage_until) StartPause(group, &job);
+      continue;
+    }
     if (job.stage == Stage::kPausing && now >= job.stage_until) {
       GiveUp(group, &job, "a replica did not answer");
       continue;
     }
     if (job.stage != Stage::kIdle) {
-      if (now >= job.stage_until) GiveUp(group, &job, "store did not answer");
+      if (now >= job.stage_until) {
+        GiveUp(group, &job, job.stage == Stage::kProbing
+                                ? "a replica did not answer"
+                                : "store did not answer");
+      }
       continue;
     }
     const auto trigger = Trigger(group, job);
@@ -166,7 +204,8 @@
     claims[row.key] = {StringOr(value, "holder"), UintOr(value, "token"),
                        StoreTime(static_cast<StoreTime::rep>(
                            UintOr(value, "claimed"))),
-                       BoolOr(value, "finished"), row.version};
+                       BoolOr(value, "finished"),
+                       !StringOr(value, "target").empty(), row.version};
   }
   for (auto& [group, job] : m_jobs) {
     if (job.stage != Stage::kReading) continue;
@@ -181,7 +220,8 @@
 void PrimaryFailover::OnClaimRead(const GroupId& group, Job* job,
                                   const Claim& claim, StoreTime now) {
   const bool others = claim.holder != m_self && !claim.holder.empty();
-  if (job->reason == kUnfinished && (claim.finished || claim.holder.empty())) {
+  const bool nothing_left = claim.finished || claim.holder.empty();
+  if (job->reason == kUnfinished && nothing_left && !job->left_paused) {
     job->stage = Stage::kIdle;
     return;
   }
@@ -190,13 +230,14 @@
     job->not_before = m_clock->Now() + kBackoff;
     return;
   }
-  if (others && claim.finished && now - claim.claimed < kSettle) {
+  if (others && claim.finished && claim.promoted &&
+      now - claim.claimed < kSettle) {
     // Another host has just replaced it; its reports are on their way.
     job->stage = Stage::kIdle;
     job->not_before = m_clock->Now() + kBackoff;
     return;
   }
-  job->claim = {m_self, claim.token + 1, now, false, claim.version};
+  job->claim = {m_self, claim.token + 1, now, false, false, claim.version};
   job->claim_sent = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_until = m_clock->Now() + kClaimTimeout;
@@ -233,22 +274,75 @@
       job.target = m_directory->groups.at(group).primary;
       return StartResume(group, &job);
     }
-    return StartPause(group, &job);
+    return StartProbe(group, &job);
+  }
+}
+
+// Nothing is changed before all replicas have answered: a host that reaches
+// only some of them could not complete the change.
+void PrimaryFailover::StartProbe(const GroupId& group, Job* job) {
+  job->stage = Stage::kProbing;
+  job->stage_until = m_clock->Now() + kProbeTimeout;
+  job->unanswered.clear();
+  job->seen.clear();
+  job->old_primary = m_directory->groups.at(group).primary;
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    if (endpoint.group != group) continue;
+    job->seen.insert(id);
+    if (id != job->old_primary) job->unanswered.insert(id);
+  }
+  job->replicas = job->unanswered;
+  if (job->unanswered.empty()) {
+    return GiveUp(group, job, "no replica is listed");
   }
+  for (const auto& id : job->unanswered) {
+    SendOrder(group, id, relay::Verb::kStatus, 0);
+  }
+}
+
+void PrimaryFailover::OnProbed(const GroupId& group, Job* job,
+                               const relay::AdminDone& event) {
+  if (!event.answered) {
+    return GiveUp(group, job, event.endpoint + " did not answer");
+  }
+  job->unanswered.erase(event.endpoint);
+  if (!job->unanswered.empty()) return;
+  return job->old_primary.empty() ? StartPause(group, job)
+                                  : StartStepDown(group, job);
+}
+
+// Other hosts are asked too: this one may be the only one that has lost the
+// primary, and a replica that is not listed yet may acknowledge for it.
+void PrimaryFailover::StartStepDown(const GroupId& group, Job* job) {
+  const auto& primary = job->old_primary;
+  job->stage = Stage::kSteppingDown;
+  job->stage_until = m_clock->Now() + (job->reason == kLeaving
+                                           ? kStepDownTimeout
+                                           : kSilentStepDownTimeout);
+  job->stepped_down_at.reset();
+  job->pause_term = std::max(job->pause_term, job->newest_term + 1);
+  SendOrder(group, primary, relay::Verb::kStepDown, job->pause_term);
+  m_for_peers.push_back({group, primary, job->pause_term});
+}
+
+void PrimaryFailover::Handle(const peer::StepDownRequest& request) {
+  SendOrder(request.group, request.endpoint, relay::Verb::kStepDown,
+            request.term);
+}
+
+std::vector<peer::StepDownRequest> PrimaryFailover::TakeForPeers() {
+  return std::exchange(m_for_peers, {});
 }
 
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
+  if (job->reason != kLeaving) job->stepped_down_at.reset();
   job->stage = Stage::kPausing;
   job->stage_until = m_clock->Now() + kPauseTimeout;
   job->paused.clear();
+  job->to_resume.clear();
   job->pause_refusals = 0;
-  const auto& primary = m_directory->groups.at(group).primary;
-  for (const auto& [id, endpoint] : m_directory->endpoints) {
-    if (endpoint.group != group || id == primary) continue;
-    job->paused[id] = std::nullopt;
-  }
-  if (job->paused.empty()) return GiveUp(group, job, "no replica is listed");
-  for (const auto& [id, answer] : job->paused) SendPause(group, id, job);
+  for (const auto& id : job->replicas) job->paused[id] = std::nullopt;
+  for (const auto& id : job->replicas) SendPause(group, id, job);
 }
 
 // A pause counts only above the newest term in the group: a replica that
@@ -272,14 +366,34 @@
     }
     return;
   }
+  if (event.result.status) {
+    job.newest_term = std::max({job.newest_term, event.result.status->term,
+                                event.result.status->received.term});
+  }
+  if (order.verb == relay::Verb::kStatus) {
+    if (job.stage == Stage::kProbing) OnProbed(group, &job, event);
+    return;
+  }
+  if (job.stage == Stage::kSteppingDown &&
+      order.verb == relay::Verb::kStepDown) {
+    const auto& answer = event.result.status;
+    if (answer && !answer->primary) {
+      job.stepped_down_at = answer->received;
+      job.pause_from = m_clock->Now() + kShippingTime;
+      return;
+    }
+    if (job.reason != kLeaving && !event.answered) return;
+    if (event.answered && answer && job.pause_term <= job.newest_term) {
+      // The term was too low; the answer tells the newest.
+      return StartStepDown(group, &job);
+    }
+    // It is gone or out of reach: the replicas alone decide.
+    return StartPause(group, &job);
+  }
   if (job.stage != Stage::kPausing) return;
   const auto replica = job.paused.find(event.endpoint);
   if (replica == job.paused.end()) return;
   const auto& status = event.result.status;
-  if (status) {
-    job.newest_term = std::max({job.newest_term, status->term,
-                                status->received.term});
-  }
   if (event.answered && event.result.Ok() && status &&
       status->paused_below > status->term) {
     replica->second = status;
@@ -299,6 +413,10 @@
        {"term", status ? std::to_string(status->term) : "unknown"},
        {"held", status ? std::to_string(status->paused_below) : "unknown"},
        {"asked", std::to_string(job.pause_term)}});
+  // Some endpoint of the group is in a newer term than this one tells.
+  if (event.answered) {
+    job.newest_term = std::max(job.newest_term, job.pause_term);
+  }
   if (++job.pause_refusals >= kMaxPauseRefusals) {
     return GiveUp(group, &job, "a replica did not pause");
   }
@@ -312,8 +430,7 @@
   for (const auto& [id, answer] : job->paused) {
     if (!answer) return;
   }
-  const auto primary =
-      m_directory->endpoints.find(m_directory->groups.at(group).primary);
+  const auto primary = m_directory->endpoints.find(job->old_primary);
   const ZoneId old_zone = primary == m_directory->endpoints.end()
                               ? ZoneId()
                               : primary->second.zone;
@@ -330,6 +447,14 @@
       job->paused.begin(), job->paused.end(),
       [&](const auto& a, const auto& b) { return rank(a.first) < rank(b.first); });
   job->target = best->first;
+  const bool complete = job->reason != kLeaving || !job->stepped_down_at ||
+                        best->second->received >= *job->stepped_down_at;
+  if (!complete && primary != m_directory->endpoints.end() &&
+      job->reverted < kMaxReverted) {
+    ++job->reverted;
+    job->target = primary->first;
+    m_counters->Add("failover_reverted");
+  }
   job->stage = Stage::kPromoting;
   job->stage_until = m_clock->Now() + kPromoteGiveUp;
   job->promote_outstanding = false;
@@ -384,7 +509,6 @@
   job->stage = Stage::kResuming;
   job->stage_until = m_clock->Now() + kResumeTimeout;
   job->resume_again = m_clock->Now();
-  job->to_resume.clear();
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     const bool may_be_paused = job->paused.empty() || job->paused.count(id) > 0;
     if (endpoint.group != group || id == job->target) continue;
@@ -434,6 +558,8 @@
                            job->target),
                job->claim.version});
   job->stage = Stage::kIdle;
+  job->not_before = m_clock->Now() + kSettle;
+  job->left_paused = false;
   job->check_claim_at.reset();
 }
 
@@ -499,6 +625,7 @@
              {{"group", group},
               {"reason", reason},
               {"token", std::to_string(job->claim.token)}});
+  job->left_paused |= !job->paused.empty() || !job->to_resume.empty();
   job->paused.clear();
   job->to_resume.clear();
   job->stage = Stage::kIdle;
@@ -522,11 +649,22 @@
     if (m_directory->endpoints.count(id) == 0) continue;
     SendOrder(group, id, relay::Verb::kContinue, 0);
   }
+  const bool holds_claim = job->stage == Stage::kProbing ||
+                           job->stage == Stage::kSteppingDown ||
+                           job->stage == Stage::kPausing;
   job->paused.clear();
   job->stage = Stage::kIdle;
   job->call = 0;
   job->promote_outstanding = false;
   job->not_before = m_clock->Now() + kBackoff;
+  if (!holds_claim) return;
+  // Another host may reach what this one does not.
+  job->not_before = m_clock->Now() + kGiveWay;
+  job->pending.push_back(
+      WriteRow{0, kPrimaryTable, group,
+               EncodeClaim(m_self, job->claim.token, job->claim.claimed, true,
+                           {}),
+               job->claim.version});
 }
 
 bool PrimaryFailover::OwnsCall(CallId call) const {
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -7,6 +7,10 @@
 // - An acknowledged commit is in the log of the primary and of one replica at
 //   least. All listed replicas are paused before their positions are compared,
 //   so nothing can be acknowledged that the highest of them lacks.
+// - A primary that still answers some host steps down first: a replica that is
+//   not listed yet might acknowledge for it. If a primary leaves and no listed replica holds
+//   all that the old primary held, the old one is promoted again, and the
+//   change is tried later.
 // - Paused replicas go on only once the promoted endpoint leads: until then the
 //   old primary could still have commits acknowledged by them. A host that
 //   finds an unfinished claim after a change of primary finishes it.
@@ -47,6 +51,8 @@
   void Handle(const TableRead& event);
   void Handle(const RowWritten& event);
   void Handle(const PromoteAnswered& event);
+  // Another host asks that a primary steps down.
+  void Handle(const peer::StepDownRequest& request);
   // False while the copies of the store's tables may be old: nothing is begun.
   void SetInformed(bool informed) { m_informed = informed; }
   // `turn`: this host's place in the group's order; earlier ones act first.
@@ -54,6 +60,8 @@
 
   bool OwnsCall(CallId call) const;
   std::vector<Action> TakeActions(CallId* next_call);
+  // What all other hosts should be asked.
+  std::vector<peer::StepDownRequest> TakeForPeers();
   // Groups whose promotion was ordered since the last call.
   std::vector<std::pair<GroupId, EndpointId>> TakePromoted();
 
@@ -62,6 +70,8 @@
     kIdle,
     kReading,
     kClaiming,
+    kProbing,
+    kSteppingDown,
     kPausing,
     kPromoting,
     kResuming  // waits for the target to lead, then resumes the replicas
@@ -71,6 +81,7 @@
     std::uint64_t token = 0;
     StoreTime claimed{0};
     bool finished = false;
+    bool promoted = false;  // it ended with a promotion
     RowVersion version = 0;
   };
   struct Job {
@@ -88,7 +99,19 @@
     std::map<EndpointId, std::optional<relay::EndpointStatus>> paused;
     int pause_refusals = 0;
     Term pause_term = 0;
+    // The primary when the job began; it is never waited for.
+    EndpointId old_primary;
+    std::set<EndpointId> replicas;    // that answered the probe
+    std::set<EndpointId> unanswered;  // of the probe
+    // This host may have left replicas paused.
+    bool left_paused = false;
+    // The position at which the leaving primary stepped down.
+    std::optional<GroupPosition> stepped_down_at;
+    Instant pause_from{};
+    int reverted = 0;
     EndpointId target;
+    // Endpoints of the group that the job knows of.
+    std::set<EndpointId> seen;
     // Replicas that have not confirmed that they go on.
     std::set<EndpointId> to_resume;
     Instant resume_again{};
@@ -113,6 +136,10 @@
   bool ClaimIsFresh(const GroupId& group, Job* job);
   void OnRenewed(const GroupId& group, Job* job, const RowWritten& event);
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
+  void PauseNewcomers(const GroupId& group, Job* job);
+  void StartProbe(const GroupId& group, Job* job);
+  void OnProbed(const GroupId& group, Job* job, const relay::AdminDone& event);
+  void StartStepDown(const GroupId& group, Job* job);
   void StartPause(const GroupId& group, Job* job);
   void SendPause(const GroupId& group, const EndpointId& endpoint, Job* job);
   void Choose(const GroupId& group, Job* job);
@@ -142,6 +169,7 @@
   bool m_reading = false;
   bool m_informed = false;
   std::vector<std::pair<GroupId, EndpointId>> m_promoted;
+  std::vector<peer::StepDownRequest> m_for_peers;
   std::vector<Action> m_out;
 };
 
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -33,7 +33,8 @@
     "unit_return",
     "unit_recall",
     "table_digest",
-    "table_copy"};
+    "table_copy",
+    "step_down_request"};
 
 constexpr Json::ArrayIndex kMaxListed = 2048;
 
@@ -210,6 +211,15 @@
         {StringOr(item, "table"), UintOr(item, "version")});
   }
 }
+void Put(const StepDownRequest& message, Json::Value* out) {
+  (*out)["group"] = message.group;
+  (*out)["endpoint"] = message.endpoint;
+  (*out)["term"] = U(message.term);
+}
+void Get(const Json::Value& json, StepDownRequest* message) {
+  *message = {StringOr(json, "group"), StringOr(json, "endpoint"),
+              UintOr(json, "term")};
+}
 // Values are arbitrary bytes.
 void Put(const TableCopy& message, Json::Value* out) {
   (*out)["table"] = message.table;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -116,13 +116,21 @@
   std::vector<Item> rows;
 };
 
+// Asks the receiver to make a primary of a lower term step down, since the
+// sender replaces it and may not reach it.
+struct StepDownRequest {
+  GroupId group;
+  EndpointId endpoint;
+  Term term = 0;
+};
+
 using Message =
     std::variant<Gossip, GuardRequest, GuardAck, SeatVouchRequest, SeatVouch,
                  SeatTakeRequest, SeatTakeConsent, ConfigQuery, ConfigAnswer,
                  ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall,
-                 TableDigest, TableCopy>;
+                 TableDigest, TableCopy, StepDownRequest>;
 
 struct Envelope {
   HostId from;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -376,7 +376,14 @@
                              const StatementResult& result) {
   if (!result.position) return;
   auto& group = m_groups[connection.group];
-  group.newest_term = std::max(group.newest_term, result.position->term);
+  if (result.position->term > group.newest_term) {
+    // Orders to endpoints must name a newer term than any that was seen.
+    group.newest_term = result.position->term;
+    PrimaryHealth news;
+    news.group = connection.group;
+    news.term = group.newest_term;
+    m_actions.push_back(news);
+  }
   HealthOf(connection.endpoint)
       .Position(*result.position, group.marks.FirstAbove(*result.position),
                 Now());
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -35,6 +35,9 @@
 // callers elsewhere.
 constexpr Milliseconds kUnreachableAfter{700};
 constexpr Milliseconds kCutOffAfter{300};
+// A primary that was deposed has a successor by then, if this host can learn
+// of it.
+constexpr Milliseconds kReplacedWithin{2000};
 // The balancer has noticed by then; sessions that are closed go elsewhere.
 constexpr Milliseconds kCutOffCloseAfter{2300};
 
@@ -145,6 +148,13 @@
     const bool renamed = it != m_directory->groups.end() &&
                          it->second.primary != group.deposed;
     if (renamed) group.deposed.clear();
+    const auto before = old == nullptr ? m_directory->groups.end()
+                                       : old->groups.find(name);
+    if (old != nullptr && it != m_directory->groups.end() &&
+        before != old->groups.end() &&
+        before->second.primary != it->second.primary) {
+      group.silent_for = {};
+    }
   }
   for (const auto& [name, group] : m_directory->groups) PumpWaiters(name);
 }
@@ -363,14 +373,19 @@
 // A host that reaches few primaries serves little; the balancer should send
 // callers to another zone.
 void RelayCore::CheckReachability() {
+  const auto now = Now();
   std::size_t unreachable = 0;
   for (const auto& [name, group] : m_directory->groups) {
-    const auto* primary = PrimaryOf(name);
-    if (primary == nullptr || m_groups[name].silent_for > kUnreachableAfter) {
-      ++unreachable;
+    auto& state = m_groups[name];
+    if (PrimaryOf(name) != nullptr) {
+      state.without_primary_since.reset();
+      if (state.silent_for > kUnreachableAfter) ++unreachable;
+      continue;
     }
+    // Usually one is being replaced.
+    if (!state.without_primary_since) state.without_primary_since = now;
+    if (now - *state.without_primary_since > kReplacedWithin) ++unreachable;
   }
-  const auto now = Now();
   if (unreachable * 2 <= m_directory->groups.size()) {
     m_unreachable_since.reset();
   } else if (!m_unreachable_since) {
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -118,7 +118,7 @@
 // News of a primary for the control part; `silent_for` is zero when it answers.
 struct PrimaryHealth {
   GroupId group;
-  EndpointId endpoint;
+  EndpointId endpoint;  // empty: only the term is news
   Duration silent_for{};
   // It refused to lead: another endpoint may have been promoted.
   bool deposed = false;
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -120,6 +120,7 @@
   Instant last_write_answer{};
   Instant reported{};
   bool reported_silent = false;
+  std::optional<Instant> without_primary_since;
   Duration silent_for{};  // of the primary, as of the last tick
   Instant last_strict_use{};
 };
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -402,9 +402,11 @@
       refusal == Refusal::kReadOnly || NeedsPrimary(*session)
           ? Duration(session->route.statement_timeout / 2)
           : Duration(session->route.target_latency / 2);
+  const Duration share = session->route.target_latency / 4;
   request.phase_until =
       std::max(request.phase_until,
-               std::min(request.arrived + patience, request.deadline));
+               std::min(std::max(request.arrived + patience, Now() + share),
+                        request.deadline));
   if (refusal == Refusal::kBusy) {
     request.phase = Phase::kPause;
     request.phase_until = Now() + kBusyPause;
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_core_test.cc
@@ -0,0 +1,87 @@
+// Configuration, endpoints and seats as several hosts see them.
+#include "Fleet/fleet_core.h"
+
+#include <gtest/gtest.h>
+
+#include "UnitTests/Support/fleet_world.h"
+
+namespace tiller::fleet {
+namespace {
+
+using std::chrono::seconds;
+
+TEST(Configuration, IsInForceOnAllHostsSoonAfterItWasWritten) {
+  FleetWorld world(5, 3, 1);
+  world.Run(seconds(2));
+  world.SetConfig(9);
+  world.Run(Milliseconds(200));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(world.DirectoryOf(i)->version, 9U);
+}
+
+TEST(Configuration, HostTurnedAwayByTheStoreLearnsItFromOthers) {
+  FleetWorld world(5, 3, 1);
+  world.Run(seconds(8));
+  world.cut_off = {0, 1};
+  world.Run(seconds(1));
+  world.SetConfig(9);
+  world.Run(seconds(2));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(world.DirectoryOf(i)->version, 9U);
+}
+
+TEST(Configuration, NeverGoesBack) {
+  FleetWorld world(3, 3, 2);
+  world.Run(seconds(2));
+  world.SetConfig(9);
+  world.Run(seconds(1));
+  world.SetConfig(7);
+  world.Run(seconds(1));
+  EXPECT_EQ(world.DirectoryOf(0)->version, 9U);
+}
+
+TEST(Endpoints, MissingRowIsBelievedOnlyAfterTheStoresGrace) {
+  FleetWorld world(2, 3, 3);
+  world.Run(seconds(2));
+  world.Endpoints()["e2"].listed = false;
+  world.WriteEndpointRow("e2");
+  world.Run(seconds(1));
+  EXPECT_EQ(world.DirectoryOf(0)->endpoints.count("e2"), 1U);
+  world.Endpoints()["e2"].listed = true;
+  world.WriteEndpointRow("e2");
+  world.Run(seconds(5));
+  EXPECT_EQ(world.DirectoryOf(0)->endpoints.count("e2"), 1U);
+  world.Endpoints()["e2"].listed = false;
+  world.WriteEndpointRow("e2");
+  world.Run(seconds(3));
+  EXPECT_EQ(world.DirectoryOf(0)->endpoints.count("e2"), 0U);
+}
+
+TEST(Seats, EveryHostHoldsOneAndNoneIsHeldTwice) {
+  FleetWorld world(9, 3, 4);
+  world.Run(seconds(12));
+  std::set<int> held;
+  for (int i = 0; i < 9; ++i) {
+    ASSERT_EQ(world.SeatsOf(i).held.size(), 1U) << i;
+    EXPECT_EQ(world.SeatsOf(i).zones.size(), 9U);
+    EXPECT_TRUE(held.insert(world.SeatsOf(i).held[0]).second);
+  }
+}
+
+TEST(Seats, RestartedHostTakesItsOwnSeatBackAtOnce) {
+  FleetWorld world(4, 3, 5);
+  world.Run(seconds(12));
+  const auto seat = world.SeatsOf(2).held;
+  world.Restart(2);
+  world.Run(seconds(1));
+  EXPECT_EQ(world.SeatsOf(2).held, seat);
+}
+
+TEST(Seats, LeaseEndsOnTheHoldersClockBeforeOthersMayTakeIt) {
+  FleetWorld world(3, 3, 6);
+  world.Run(seconds(12));
+  world.cut_off = {1};
+  world.Run(seconds(29));
+  EXPECT_LT(world.SeatsOf(1).valid_until, world.clock.Now());
+}
+
+}  // namespace
+}  // namespace tiller::fleet
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -16,6 +16,7 @@
   core.Handle(SeatsChanged{seats});
   Publish(MakeDirectory());
   Tick(std::chrono::seconds(5));
+  SucceedOwn();
 }
 
 Directory RelayBench::MakeDirectory() const {
@@ -90,6 +91,7 @@
   if (const auto* reply = std::get_if<Reply>(&action)) {
     m_answers[reply->session].push_back(reply->result);
   } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+    if (dark) return;
     if (refuse_connections || OpenAt(open->endpoint) >= endpoint_limit) {
       core.Handle(ConnectionRefused{open->connection, Refusal::kTooMany, ""});
       return;
--- a/Source/UnitTests/Support/relay_bench.h
+++ b/Source/UnitTests/Support/relay_bench.h
@@ -58,6 +58,8 @@
   // Connections beyond this are refused by each endpoint.
   std::size_t endpoint_limit = 1000;
   bool refuse_connections = false;
+  // Endpoints don't answer connections at all.
+  bool dark = false;
   std::vector<SessionId> closed;
   std::vector<SessionId> rejected;
   std::vector<AdminDone> admin;
