Failover gives up a target that does not lead; pause terms start anew

Change: a job ends two seconds after a promotion that did not take; terms start from the newest one seen. The model tells hosts that a primary stepped down.

--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -44,6 +44,7 @@
 // After giving up, the others try first.
 constexpr Milliseconds kGiveWay{1'200};
 // The promoted endpoint reports itself within a second of the order.
+constexpr Milliseconds kLeadTimeout{2'000};
 constexpr Milliseconds kResumeTimeout{6'000};
 constexpr Milliseconds kResumeRetry{400};
 // By then the host that changed a primary has resumed the replicas.
@@ -283,6 +284,7 @@
 void PrimaryFailover::StartProbe(const GroupId& group, Job* job) {
   job->stage = Stage::kProbing;
   job->stage_until = m_clock->Now() + kProbeTimeout;
+  job->pause_term = 0;
   job->unanswered.clear();
   job->seen.clear();
   job->old_primary = m_directory->groups.at(group).primary;
@@ -508,6 +510,7 @@
 void PrimaryFailover::StartResume(const GroupId& group, Job* job) {
   job->stage = Stage::kResuming;
   job->stage_until = m_clock->Now() + kResumeTimeout;
+  job->lead_until = m_clock->Now() + kLeadTimeout;
   job->resume_again = m_clock->Now();
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     const bool may_be_paused = job->paused.empty() || job->paused.count(id) > 0;
@@ -526,7 +529,8 @@
     return m_directory->endpoints.count(id) == 0;
   });
   if (leads && job->to_resume.empty()) return Finish(group, job);
-  if (now >= job->stage_until) {
+  const bool failed = !leads && now >= job->lead_until;
+  if (now >= job->stage_until || failed) {
     // Left unfinished: the next claim, here or elsewhere, goes on with it.
     log::Event(log::Channel::kFailover, log::Level::kWarn,
                "failover_unfinished",
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -90,6 +90,7 @@
     Instant suspected_since{};  // 0: not suspected
     Instant not_before{};
     Instant stage_until{};
+    Instant lead_until{};  // the target should lead by then
     Claim claim;
     // Own clock before the write that made or renewed the claim.
     Instant claim_sent{};
--- a/Source/UnitTests/Support/fleet_world.cc
+++ b/Source/UnitTests/Support/fleet_world.cc
@@ -168,6 +168,12 @@
         news.endpoint = m_leader;
         news.silent_for = Milliseconds(700);
       }
+      const auto& leader = m_endpoints.at(m_leader);
+      if (!LostPrimary(i) && leader.paused_below > leader.term) {
+        // Its callers are told that it does not lead.
+        news.endpoint = m_leader;
+        news.deposed = true;
+      }
       core.Handle(news);
       core.Handle(TimerFired{});
       Collect(i);
@@ -314,6 +320,8 @@
   }
   next.term = newest + 1;
   next.paused_below = 0;
+  // A primary that stepped down is a replica like the others.
+  if (old != target) m_endpoints.at(old).paused_below = 0;
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.position = std::min(endpoint.position, next.position);
     endpoint.sent_term = 0;
