--- a/Source/Common/log.cc
+++ b/Source/Common/log.cc
@@ -39,8 +39,8 @@
   // Called with the appender locked.
   void append(const log4cxx::spi::LoggingEventPtr& event,
               log4cxx::helpers::Pool& pool) override {
-    if (!Admit(event->getLevel()->isGreaterOrEqual(
-            log4cxx::Level::getWarn()))) {
+    if (!Admit(
+            event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()))) {
       return;
     }
     log4cxx::LogString line;
--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -2,6 +2,7 @@
 #include "Fleet/directory_builder.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "Common/log.h"
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -98,9 +98,9 @@
   for (const auto& peer : m_seats.Peers()) {
     if (peer.host != event.to) continue;
     m_actions.push_back(SendPeer{
-        peer.address, std::visit([](const auto& kind) -> peer::Message {
-          return kind;
-        }, event.message)});
+        peer.address,
+        std::visit([](const auto& kind) -> peer::Message { return kind; },
+                   event.message)});
     return;
   }
 }
@@ -155,8 +155,9 @@
     rows.push_back({item.key, item.value, item.version, false});
   }
   if (!follower->Adopt(rows, copy.version)) return;
-  log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_adopted",
-             {{"table", copy.table}, {"version", std::to_string(copy.version)}});
+  log::Event(
+      log::Channel::kPlatform, log::Level::kInfo, "table_adopted",
+      {{"table", copy.table}, {"version", std::to_string(copy.version)}});
   OnContent(*follower);
 }
 
@@ -192,7 +193,8 @@
   // Endpoints must have been read: a group looks empty before, and its rows
   // may be old right after the store was out of reach.
   const auto now = m_clock->Now();
-  if (m_endpoints.Failing() || m_operator.Failing()) m_informed_from = now + kInformedAfter;
+  if (m_endpoints.Failing() || m_operator.Failing())
+    m_informed_from = now + kInformedAfter;
   m_failover.SetInformed(now >= m_informed_from);
   if (m_endpoints.Loaded()) m_failover.Tick(turns);
   if (m_clock->Now() >= m_tell_at) TellPeers();
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -101,9 +101,8 @@
   relay::DirectoryPtr directory;
 };
 
-using Action =
-    std::variant<ReadTable, FollowTable, WriteRow, Promote, SendPeer,
-                 PublishDirectory, relay::SeatsChanged, relay::AdminRequest,
-                 relay::ShareReceived>;
+using Action = std::variant<ReadTable, FollowTable, WriteRow, Promote, SendPeer,
+                            PublishDirectory, relay::SeatsChanged,
+                            relay::AdminRequest, relay::ShareReceived>;
 
 }  // namespace tiller::fleet
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -143,9 +143,9 @@
     }
     if (job.stage != Stage::kIdle) {
       if (now >= job.stage_until) {
-        GiveUp(group, &job, job.stage == Stage::kProbing
-                                ? "a replica did not answer"
-                                : "store did not answer");
+        GiveUp(group, &job,
+               job.stage == Stage::kProbing ? "a replica did not answer"
+                                            : "store did not answer");
       }
       continue;
     }
@@ -167,9 +167,9 @@
                   {"endpoint", row.primary},
                   {"reason", trigger},
                   {"silent_ms",
-                   std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                      job.silent_for)
-                                      .count())}});
+                   std::to_string(
+                       std::chrono::duration_cast<Milliseconds>(job.silent_for)
+                           .count())}});
     }
     Duration grace{};
     if (trigger == "no_primary") {
@@ -202,11 +202,13 @@
       continue;
     }
     const auto& value = json.value();
-    claims[row.key] = {StringOr(value, "holder"), UintOr(value, "token"),
-                       StoreTime(static_cast<StoreTime::rep>(
-                           UintOr(value, "claimed"))),
-                       BoolOr(value, "finished"),
-                       !StringOr(value, "target").empty(), row.version};
+    claims[row.key] = {
+        StringOr(value, "holder"),
+        UintOr(value, "token"),
+        StoreTime(static_cast<StoreTime::rep>(UintOr(value, "claimed"))),
+        BoolOr(value, "finished"),
+        !StringOr(value, "target").empty(),
+        row.version};
   }
   for (auto& [group, job] : m_jobs) {
     if (job.stage != Stage::kReading) continue;
@@ -242,10 +244,9 @@
   job->claim_sent = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_until = m_clock->Now() + kClaimTimeout;
-  job->pending.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, now, false, {}),
-               claim.version});
+  job->pending.push_back(WriteRow{
+      0, kPrimaryTable, group,
+      EncodeClaim(m_self, job->claim.token, now, false, {}), claim.version});
 }
 
 void PrimaryFailover::Handle(const RowWritten& event) {
@@ -318,9 +319,9 @@
 void PrimaryFailover::StartStepDown(const GroupId& group, Job* job) {
   const auto& primary = job->old_primary;
   job->stage = Stage::kSteppingDown;
-  job->stage_until = m_clock->Now() + (job->reason == kLeaving
-                                           ? kStepDownTimeout
-                                           : kSilentStepDownTimeout);
+  job->stage_until =
+      m_clock->Now() +
+      (job->reason == kLeaving ? kStepDownTimeout : kSilentStepDownTimeout);
   job->stepped_down_at.reset();
   job->pause_term = std::max(job->pause_term, job->newest_term + 1);
   SendOrder(group, primary, relay::Verb::kStepDown, job->pause_term);
@@ -433,9 +434,8 @@
     if (!answer) return;
   }
   const auto primary = m_directory->endpoints.find(job->old_primary);
-  const ZoneId old_zone = primary == m_directory->endpoints.end()
-                              ? ZoneId()
-                              : primary->second.zone;
+  const ZoneId old_zone =
+      primary == m_directory->endpoints.end() ? ZoneId() : primary->second.zone;
   const auto rank = [&](const EndpointId& id) {
     const auto& answer = *job->paused.at(id);
     const auto endpoint = m_directory->endpoints.find(id);
@@ -445,9 +445,10 @@
                        endpoint->second.zone != old_zone;
     return std::make_tuple(answer.received, stays, third);
   };
-  const auto best = std::max_element(
-      job->paused.begin(), job->paused.end(),
-      [&](const auto& a, const auto& b) { return rank(a.first) < rank(b.first); });
+  const auto best = std::max_element(job->paused.begin(), job->paused.end(),
+                                     [&](const auto& a, const auto& b) {
+                                       return rank(a.first) < rank(b.first);
+                                     });
   job->target = best->first;
   const bool complete = job->reason != kLeaving || !job->stepped_down_at ||
                         best->second->received >= *job->stepped_down_at;
@@ -463,9 +464,8 @@
   log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_chosen",
              {{"group", group},
               {"target", job->target},
-              {"position",
-               std::to_string(best->second->received.term) + "." +
-                   std::to_string(best->second->received.position)},
+              {"position", std::to_string(best->second->received.term) + "." +
+                               std::to_string(best->second->received.position)},
               {"replicas", std::to_string(job->paused.size())},
               {"token", std::to_string(job->claim.token)}});
   SendPromote(group, job);
@@ -664,11 +664,10 @@
   if (!holds_claim) return;
   // Another host may reach what this one does not.
   job->not_before = m_clock->Now() + kGiveWay;
-  job->pending.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, job->claim.claimed, true,
-                           {}),
-               job->claim.version});
+  job->pending.push_back(WriteRow{
+      0, kPrimaryTable, group,
+      EncodeClaim(m_self, job->claim.token, job->claim.claimed, true, {}),
+      job->claim.version});
 }
 
 bool PrimaryFailover::OwnsCall(CallId call) const {
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -8,9 +8,9 @@
 //   least. All listed replicas are paused before their positions are compared,
 //   so nothing can be acknowledged that the highest of them lacks.
 // - A primary that still answers some host steps down first: a replica that is
-//   not listed yet might acknowledge for it. If a primary leaves and no listed replica holds
-//   all that the old primary held, the old one is promoted again, and the
-//   change is tried later.
+//   not listed yet might acknowledge for it. If a primary leaves and no listed
+//   replica holds all that the old primary held, the old one is promoted again,
+//   and the change is tried later.
 // - Paused replicas go on only once the promoted endpoint leads: until then the
 //   old primary could still have commits acknowledged by them. A host that
 //   finds an unfinished claim after a change of primary finishes it.
@@ -25,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/clock.h"
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "Common/json.h"
 #include "Common/log.h"
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/clock.h"
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/clock.h"
--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -94,8 +94,8 @@
       bucket->limit.restart_allowance * per_seat *
       static_cast<double>(held.size() - kept) * kMicroPerToken);
   bucket->level = std::max(
-      bucket->level, std::min(bucket->level + allowance,
-                              bucket->cap - Reserved(bucket, now)));
+      bucket->level,
+      std::min(bucket->level + allowance, bucket->cap - Reserved(bucket, now)));
   bucket->refilled = now;
 }
 
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -257,8 +257,8 @@
 }
 
 bool TooLong(const Json::Value& body) {
-  for (const auto* list : {"members", "groups", "settled", "seats", "tables",
-                           "rows"}) {
+  for (const auto* list :
+       {"members", "groups", "settled", "seats", "tables", "rows"}) {
     if (body.isMember(list) &&
         (!body[list].isArray() || body[list].size() > kMaxListed)) {
       return true;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -42,11 +42,9 @@
 }
 
 std::size_t RelayCore::ConnectionsAt(const EndpointId& endpoint) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_connections.begin(), m_connections.end(),
-                    [&](const auto& item) {
-                      return item.second.endpoint == endpoint;
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      m_connections.begin(), m_connections.end(),
+      [&](const auto& item) { return item.second.endpoint == endpoint; }));
 }
 
 std::size_t RelayCore::ShareAt(const Endpoint& endpoint) const {
@@ -90,8 +88,7 @@
             ? 0
             : std::max<std::size_t>(
                   1, static_cast<std::size_t>(
-                         static_cast<double>(ShareAt(*endpoint)) *
-                         kIdleShare));
+                         static_cast<double>(ShareAt(*endpoint)) * kIdleShare));
     if (++kept[connection->endpoint] <= allowed) continue;
     if (Now() - connection->idle_since < kIdleKept) continue;
     surplus.push_back(connection->id);
@@ -282,8 +279,8 @@
       return NextStep(connection);
     case Step::kRollback:
       connection->in_transaction = false;
-      connection->dirty |= std::exchange(connection->options_in_transaction,
-                                         false);
+      connection->dirty |=
+          std::exchange(connection->options_in_transaction, false);
       return Release(connection);
     case Step::kProbe:
       if (result.Ok()) {
@@ -317,9 +314,9 @@
     const auto needed = session != nullptr && session->request
                             ? NeededPosition(*session)
                             : std::nullopt;
-    const auto seen =
-        needed ? m_groups[connection->group].marks.FirstSeen(*needed)
-               : std::nullopt;
+    const auto seen = needed
+                          ? m_groups[connection->group].marks.FirstSeen(*needed)
+                          : std::nullopt;
     HealthOf(endpoint).Lagged(seen ? Now() - *seen : Duration{});
   } else if (result.refusal == Refusal::kBusy) {
     HealthOf(endpoint).Full(Now());
--- a/Source/Relay/endpoint_choice.cc
+++ b/Source/Relay/endpoint_choice.cc
@@ -1,6 +1,7 @@
 // Implementation of the choice of an endpoint.
 #include "Relay/endpoint_choice.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace tiller::relay {
@@ -23,9 +24,9 @@
   const double response =
       std::chrono::duration<double, std::milli>(candidate.response_time)
           .count();
-  const double load = static_cast<double>(candidate.in_progress) /
-                      static_cast<double>(std::max<std::size_t>(
-                          candidate.slots, 1));
+  const double load =
+      static_cast<double>(candidate.in_progress) /
+      static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
   double cost = response * (1 + load);
   if (candidate.primary) cost = cost * kPrimaryFactor + kPrimaryCostMs;
   if (!candidate.connection_ready) cost += kOpenCostMs;
--- a/Source/Relay/endpoint_health.cc
+++ b/Source/Relay/endpoint_health.cc
@@ -39,9 +39,8 @@
 void EndpointHealth::Silent(Instant now) {
   const int doublings = std::min(m_failures, kMaxDoublings);
   ++m_failures;
-  m_avoid_until =
-      now + std::min<Duration>(kSilentPause * (1 << doublings),
-                               kSilentPauseMax);
+  m_avoid_until = now + std::min<Duration>(kSilentPause * (1 << doublings),
+                                           kSilentPauseMax);
 }
 
 void EndpointHealth::Full(Instant now) {
@@ -57,12 +56,13 @@
                               std::optional<Instant> passed, Instant now) {
   if (!m_position || *m_position < position) m_position = position;
   const Duration age = passed ? now - *passed : Duration{};
-  m_lag = std::max(age, std::chrono::duration_cast<Duration>(m_lag * kLagDecay));
+  m_lag =
+      std::max(age, std::chrono::duration_cast<Duration>(m_lag * kLagDecay));
 }
 
 void EndpointHealth::Lagged(Duration age) {
-  m_lag = std::chrono::duration_cast<Duration>(
-      std::max<Duration>(m_lag, age) / kLagDecay);
+  m_lag = std::chrono::duration_cast<Duration>(std::max<Duration>(m_lag, age) /
+                                               kLagDecay);
 }
 
 }  // namespace tiller::relay
--- a/Source/Relay/position_marks.cc
+++ b/Source/Relay/position_marks.cc
@@ -19,9 +19,8 @@
     if (sent <= last.at) return;
     // An answer that was overtaken by a later one proves less.
     if (position < last.position) return;
-    const bool crowded =
-        m_marks.size() > 1 &&
-        last.at - m_marks[m_marks.size() - 2].at < kSpacing;
+    const bool crowded = m_marks.size() > 1 &&
+                         last.at - m_marks[m_marks.size() - 2].at < kSpacing;
     if (crowded && position == last.position) {
       last.at = sent;
       return;
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -43,8 +43,8 @@
 
 }  // namespace
 
-RelayCore::RelayCore(RelaySettings settings, const Clock* clock,
-                     Random* random, Counters* counters)
+RelayCore::RelayCore(RelaySettings settings, const Clock* clock, Random* random,
+                     Counters* counters)
     : m_settings(std::move(settings)),
       m_clock(clock),
       m_random(random),
@@ -61,16 +61,14 @@
 
 std::size_t RelayCore::OpenTransactions() const {
   return static_cast<std::size_t>(std::count_if(
-      m_sessions.begin(), m_sessions.end(), [](const auto& item) {
-        return item.second.state == TxState::kOpen;
-      }));
+      m_sessions.begin(), m_sessions.end(),
+      [](const auto& item) { return item.second.state == TxState::kOpen; }));
 }
 
 std::size_t RelayCore::OpenRequests() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto& item) {
-        return item.second.request.has_value();
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      m_sessions.begin(), m_sessions.end(),
+      [](const auto& item) { return item.second.request.has_value(); }));
 }
 
 Session* RelayCore::FindSession(SessionId id) {
@@ -108,8 +106,7 @@
 }
 
 bool RelayCore::PrimaryUsable(const GroupId& group) const {
-  return PrimaryOf(group) != nullptr &&
-         m_groups[group].silent_for < kHoldAfter;
+  return PrimaryOf(group) != nullptr && m_groups[group].silent_for < kHoldAfter;
 }
 
 void RelayCore::On(const DirectoryChanged& event) {
@@ -123,40 +120,42 @@
       m_leaving_since.erase(id);
     }
   }
-  std::vector<ConnectionId> unused;
-  for (const auto& [id, connection] : m_connections) {
-    const auto* endpoint = FindEndpoint(connection.endpoint);
-    const auto before =
-        old == nullptr ? nullptr : [&]() -> const Endpoint* {
-          const auto it = old->endpoints.find(connection.endpoint);
-          return it == old->endpoints.end() ? nullptr : &it->second;
-        }();
-    const bool reborn = endpoint != nullptr && before != nullptr &&
-                        endpoint->born != before->born;
-    const bool gone = endpoint == nullptr || reborn ||
-                      (endpoint->leaving && !endpoint->primary);
-    if (gone && connection.state == ConnectionState::kIdle) {
-      unused.push_back(id);
-    }
-  }
-  for (const auto id : unused) CloseAndForget(id);
+  CloseUnused(old);
   std::erase_if(m_health, [&](const auto& item) {
     return FindEndpoint(item.first) == nullptr;
   });
-  for (auto& [name, group] : m_groups) {
-    const auto it = m_directory->groups.find(name);
-    const bool renamed = it != m_directory->groups.end() &&
-                         it->second.primary != group.deposed;
-    if (renamed) group.deposed.clear();
-    const auto before = old == nullptr ? m_directory->groups.end()
-                                       : old->groups.find(name);
-    if (old != nullptr && it != m_directory->groups.end() &&
-        before != old->groups.end() &&
-        before->second.primary != it->second.primary) {
-      group.silent_for = {};
+  for (const auto& [name, group] : m_directory->groups) {
+    NotePrimary(old, group);
+    PumpWaiters(name);
+  }
+}
+
+// Closes idle connections to endpoints that are gone, restarted or leaving.
+void RelayCore::CloseUnused(const DirectoryPtr& old) {
+  std::vector<ConnectionId> unused;
+  for (const auto& [id, item] : m_connections) {
+    if (item.state != ConnectionState::kIdle) continue;
+    const auto* endpoint = FindEndpoint(item.endpoint);
+    bool gone =
+        endpoint == nullptr || (endpoint->leaving && !endpoint->primary);
+    if (!gone && old != nullptr) {
+      const auto before = old->endpoints.find(item.endpoint);
+      gone = before != old->endpoints.end() &&
+             before->second.born != endpoint->born;
     }
+    if (gone) unused.push_back(id);
   }
-  for (const auto& [name, group] : m_directory->groups) PumpWaiters(name);
+  for (const auto id : unused) CloseAndForget(id);
+}
+
+// What was known of an old primary does not hold for the new one.
+void RelayCore::NotePrimary(const DirectoryPtr& old, const Group& group) {
+  auto& state = m_groups[group.name];
+  if (group.primary != state.deposed) state.deposed.clear();
+  if (old == nullptr) return;
+  const auto before = old->groups.find(group.name);
+  if (before == old->groups.end()) return;
+  if (before->second.primary != group.primary) state.silent_for = {};
 }
 
 void RelayCore::On(const SeatsChanged& event) {
@@ -172,15 +171,14 @@
     const double tolerance =
         m_settings.rate_overage * (window + workspace.burst) +
         m_settings.rate_slack;
-    rates.push_back({name, workspace.rate, workspace.burst,
-                     tolerance * kRestartShare});
+    rates.push_back(
+        {name, workspace.rate, workspace.burst, tolerance * kRestartShare});
   }
   return rates;
 }
 
 void RelayCore::On(const ShareReceived& event) {
-  if (const auto* request =
-          std::get_if<limits::TokenRequest>(&event.message)) {
+  if (const auto* request = std::get_if<limits::TokenRequest>(&event.message)) {
     m_tokens.Handle(event.from, *request, Now());
   }
   if (const auto* grant = std::get_if<limits::TokenGrant>(&event.message)) {
@@ -253,9 +251,9 @@
         continue;
       }
       const auto wait = m_tokens.RefillTime(session->workspace);
-      Refuse(session, Refusal::kBusy,
-             "rate exceeded, retry after " + std::to_string(wait.count()) +
-                 " ms");
+      Refuse(
+          session, Refusal::kBusy,
+          "rate exceeded, retry after " + std::to_string(wait.count()) + " ms");
       continue;
     }
     if (request.phase == Phase::kPause) {
@@ -269,7 +267,8 @@
     }
     const bool no_primary =
         NeedsPrimary(*session) && !PrimaryUsable(session->route.group);
-    if (session->state == TxState::kOpen) EndTransaction(session, TxState::kFailed);
+    if (session->state == TxState::kOpen)
+      EndTransaction(session, TxState::kFailed);
     Refuse(session, Refusal::kBusy,
            no_primary ? "no primary, retry after 500 ms"
                       : "no connection, retry after 100 ms");
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -134,6 +134,8 @@
                    const StatementResult& result);
 
   // ---- upkeep (relay_core.cc)
+  void CloseUnused(const DirectoryPtr& old);
+  void NotePrimary(const DirectoryPtr& old, const Group& group);
   void ExpireSteps();
   void ExpireRequests();
   void ExpireIdleTransactions();
--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -40,9 +40,9 @@
   kInvalid
 };
 inline constexpr std::array<std::string_view, 17> kVerbNames = {
-    "begin",   "begin_read",   "commit",        "rollback",   "read",
-    "write",   "set_option",   "prepare_read",  "prepare_write", "execute",
-    "deallocate", "discard",   "status",        "pause",      "continue",
+    "begin",      "begin_read", "commit",       "rollback",      "read",
+    "write",      "set_option", "prepare_read", "prepare_write", "execute",
+    "deallocate", "discard",    "status",       "pause",         "continue",
     "step_down",  "invalid"};
 
 struct Statement {
@@ -75,9 +75,9 @@
   kMalformed
 };
 inline constexpr std::array<std::string_view, 15> kRefusalNames = {
-    "none",      "busy",    "aborted",      "lagging", "read_only",
-    "misrouted", "too_many", "in_doubt",    "timeout", "failed",
-    "no_statement", "no_auth", "no_database", "too_large", "malformed"};
+    "none",         "busy",     "aborted",     "lagging",   "read_only",
+    "misrouted",    "too_many", "in_doubt",    "timeout",   "failed",
+    "no_statement", "no_auth",  "no_database", "too_large", "malformed"};
 
 // Transaction state as told with every answer.
 enum class TxState { kIdle, kOpen, kFailed };
@@ -116,7 +116,7 @@
   Milliseconds statement_timeout{0};
   Milliseconds target_latency{0};
   Milliseconds max_staleness{0};
-  int priority = 0;  // 0 is the highest
+  int priority = 0;   // 0 is the highest
   bool open = false;  // needs no key
 };
 
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -118,8 +118,8 @@
     candidate.connection_possible = request.opening == 0 && CanOpen(endpoint);
     candidate.slots = endpoint.slots;
     candidate.response_time = health.ResponseTime();
-    candidate.known_fresh = candidate.primary ||
-                            (health.Known() && *health.Known() >= needed);
+    candidate.known_fresh =
+        candidate.primary || (health.Known() && *health.Known() >= needed);
     candidate.likely_fresh = health.Lag() <= age;
     for (const auto& [other_id, other] : m_connections) {
       if (other.endpoint != id) continue;
@@ -133,9 +133,8 @@
     for (auto& candidate : candidates) {
       if (candidate.connection_ready || candidate.connection_possible) continue;
       for (const auto& [id, other] : m_connections) {
-        candidate.connection_possible |=
-            other.endpoint == candidate.endpoint &&
-            other.state == ConnectionState::kIdle;
+        candidate.connection_possible |= other.endpoint == candidate.endpoint &&
+                                         other.state == ConnectionState::kIdle;
       }
     }
     choice = ChooseForRead(candidates, m_random);
@@ -169,11 +168,11 @@
   auto* session = FindSession(connection->user);
   if (session == nullptr || !session->request) return Release(connection);
   const auto& request = *session->request;
-  const bool extra_option = std::any_of(
-      connection->options.begin(), connection->options.end(),
-      [&](const auto& option) {
-        return session->options.count(option.first) == 0;
-      });
+  const bool extra_option =
+      std::any_of(connection->options.begin(), connection->options.end(),
+                  [&](const auto& option) {
+                    return session->options.count(option.first) == 0;
+                  });
   if (connection->dirty || extra_option) {
     return Send(connection, Step::kDiscard, {Verb::kDiscard, "", "", ""},
                 kOwnStepLimit);
@@ -242,8 +241,8 @@
       it == m_health.end() ? Duration{} : it->second.ResponseTime();
   const Duration share = std::chrono::duration_cast<Duration>(
       session.route.target_latency * kReadPatienceShare);
-  return std::max<Duration>({share, response * kReadPatienceResponses,
-                             Duration(kReadPatienceMin)});
+  return std::max<Duration>(
+      {share, response * kReadPatienceResponses, Duration(kReadPatienceMin)});
 }
 
 void RelayCore::OnUserResult(Connection* connection,
@@ -269,8 +268,7 @@
     group.marks.Add(sent, *result.position);
   }
   m_counters->Observe(
-      "latency_" +
-          std::string(NameOf(kRouteKindNames, session->route.kind)),
+      "latency_" + std::string(NameOf(kRouteKindNames, session->route.kind)),
       std::chrono::duration<double, std::micro>(Now() - request.arrived)
           .count());
   m_counters->Add("answered_" + std::string(NameOf(kVerbNames, verb)));
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -110,8 +110,8 @@
   session->request.emplace();
   session->request->id = event.request_id;
   const auto& statement = event.statement;
-  const bool full = session->options.size() + session->prepared.size() >=
-                    kMaxSessionNames;
+  const bool full =
+      session->options.size() + session->prepared.size() >= kMaxSessionNames;
   switch (statement.verb) {
     case Verb::kSetOption:
       if (full) return Refuse(session, Refusal::kTooLarge, "too many options");
@@ -155,8 +155,8 @@
   if (TakeToken(session)) return OperationAdmitted(session);
   request.phase = Phase::kToken;
   request.phase_until =
-      request.arrived + std::min<Duration>(
-                            kTokenWait, session->route.target_latency / 4);
+      request.arrived +
+      std::min<Duration>(kTokenWait, session->route.target_latency / 4);
   m_tokens.Demand(session->workspace, 1, Now());
   TakeShareMessages();
 }
@@ -224,8 +224,8 @@
   auto& request = *session->request;
   const auto verb = event.statement.verb;
   if (session->tx_lost) {
-    EndTransaction(session, verb == Verb::kRollback ? TxState::kIdle
-                                                    : TxState::kFailed);
+    EndTransaction(session,
+                   verb == Verb::kRollback ? TxState::kIdle : TxState::kFailed);
     if (verb == Verb::kRollback) return AnswerLocally(session);
     if (verb == Verb::kCommit) session->state = TxState::kIdle;
     return Refuse(session, Refusal::kAborted, "transaction was rolled back");
@@ -286,19 +286,18 @@
                        const std::string& reason) {
   const auto& request = *session->request;
   m_counters->Add("refused_" + std::string(NameOf(kRefusalNames, refusal)));
-  log::Event(
-      log::Channel::kTraffic, log::Level::kInfo, "request_refused",
-      {{"request", request.id},
-       {"workspace", session->workspace},
-       {"route", session->route.name},
-       {"verb", std::string(NameOf(kVerbNames, request.statement.verb))},
-       {"code", std::string(NameOf(kRefusalNames, refusal))},
-       {"reason", reason},
-       {"sent", request.sent ? "yes" : "no"},
-       {"attempts", std::to_string(request.attempts)},
-       {"age_ms", Text(Now() - request.arrived)},
-       {"directory",
-        m_directory ? std::to_string(m_directory->version) : "none"}});
+  log::Event(log::Channel::kTraffic, log::Level::kInfo, "request_refused",
+             {{"request", request.id},
+              {"workspace", session->workspace},
+              {"route", session->route.name},
+              {"verb", std::string(NameOf(kVerbNames, request.statement.verb))},
+              {"code", std::string(NameOf(kRefusalNames, refusal))},
+              {"reason", reason},
+              {"sent", request.sent ? "yes" : "no"},
+              {"attempts", std::to_string(request.attempts)},
+              {"age_ms", Text(Now() - request.arrived)},
+              {"directory",
+               m_directory ? std::to_string(m_directory->version) : "none"}});
   ReplyAndForget(session, Refused(refusal, reason, session->state));
 }
 
@@ -326,8 +325,7 @@
   const auto pinned = std::exchange(session->pinned, 0);
   m_sessions.erase(session->id);
   auto* connection = FindConnection(pinned);
-  if (connection != nullptr &&
-      connection->state == ConnectionState::kPinned) {
+  if (connection != nullptr && connection->state == ConnectionState::kPinned) {
     Release(connection);
   }
 }
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -163,9 +163,8 @@
   EXPECT_TRUE(world.breaches.empty())
       << "seed " << seed << ": " << world.breaches.front() << "\n"
       << world.TraceText();
-  EXPECT_TRUE(world.AllReplicasGoOn())
-      << "seed " << seed << "\n"
-      << world.TraceText();
+  EXPECT_TRUE(world.AllReplicasGoOn()) << "seed " << seed << "\n"
+                                       << world.TraceText();
 }
 
 TEST(Failover, RandomFaultsLoseNothingAndLeaveNothingPaused) {
--- /dev/null
+++ b/Source/UnitTests/Lakeshore/line_codec_test.cc
@@ -0,0 +1,177 @@
+// The line protocol and the store's records, as they come and as they should
+// not.
+#include "platform/line_codec.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/record_codec.h"
+#include "platform/settings.h"
+
+namespace tiller::lakeshore {
+namespace {
+
+using relay::Refusal;
+using relay::Verb;
+
+Verb VerbOf(const std::string& text) {
+  const auto line = ParseCallerLine("QUERY q1 " + text);
+  const auto* statement = std::get_if<StatementLine>(&line);
+  return statement == nullptr ? Verb::kInvalid : statement->statement.verb;
+}
+
+TEST(CallerLines, StatementsAreRecognised) {
+  EXPECT_EQ(VerbOf("BEGIN"), Verb::kBegin);
+  EXPECT_EQ(VerbOf("BEGIN READ"), Verb::kBeginRead);
+  EXPECT_EQ(VerbOf("COMMIT"), Verb::kCommit);
+  EXPECT_EQ(VerbOf("ROLLBACK"), Verb::kRollback);
+  EXPECT_EQ(VerbOf("READ 1a4"), Verb::kRead);
+  EXPECT_EQ(VerbOf("WRITE 1a4 x y"), Verb::kWrite);
+  EXPECT_EQ(VerbOf("SETOPT a b c"), Verb::kSetOption);
+  EXPECT_EQ(VerbOf("PREPARE s READ q"), Verb::kPrepareRead);
+  EXPECT_EQ(VerbOf("PREPARE s WRITE q"), Verb::kPrepareWrite);
+  EXPECT_EQ(VerbOf("EXECUTE s 1a4 x"), Verb::kExecute);
+  EXPECT_EQ(VerbOf("DEALLOC s"), Verb::kDeallocate);
+}
+
+TEST(CallerLines, OwnCommandsOfEndpointsAreNotForCallers) {
+  for (const auto* text : {"PAUSE 9", "CONTINUE", "STEPDOWN 9", "STATUS",
+                           "DISCARD", "AFTER 1.2 READ a", "BEGIN WRITE", "READ",
+                           "PREPARE s READ", "COMMIT x", "", "read a"}) {
+    EXPECT_EQ(VerbOf(text), Verb::kInvalid) << text;
+  }
+}
+
+TEST(CallerLines, MalformedLinesAreNothing) {
+  for (const auto* line :
+       {"", "QUERY", "QUERY q1", "CONNECT", "HELLO x", "QUERY  READ a"}) {
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(ParseCallerLine(line)))
+        << line;
+  }
+}
+
+TEST(CallerLines, TextIsForwardedUnchanged) {
+  const auto line = ParseCallerLine("QUERY q1 WRITE 1a4  two  blanks ");
+  relay::SendStatement action;
+  action.id = std::get<StatementLine>(line).id;
+  action.statement = std::get<StatementLine>(line).statement;
+  EXPECT_EQ(EncodeStatement(action), "QUERY q1 WRITE 1a4  two  blanks \r\n");
+}
+
+TEST(EndpointLines, PrefixAndOwnStatements) {
+  relay::SendStatement action;
+  action.statement.verb = Verb::kBeginRead;
+  action.after = GroupPosition{3, 1207};
+  EXPECT_EQ(EncodeStatement(action), "QUERY - AFTER 3.1207 BEGIN READ\r\n");
+  action = {};
+  action.statement.verb = Verb::kPause;
+  action.term = 4;
+  EXPECT_EQ(EncodeStatement(action), "QUERY - PAUSE 4\r\n");
+  EXPECT_EQ(EncodeStart("s", "t", "i-1"), "CONNECT s t i-1\r\n");
+}
+
+TEST(EndpointLines, AnswersAreRecognised) {
+  const auto ready = ParseEndpointLine("READY E 3.1209");
+  EXPECT_EQ(std::get<ReadyLine>(ready).state, relay::TxState::kFailed);
+  EXPECT_EQ(std::get<ReadyLine>(ready).position, (GroupPosition{3, 1209}));
+  EXPECT_EQ(std::get<ReadyLine>(ParseEndpointLine("READY I -")).position,
+            std::nullopt);
+  const auto error = ParseEndpointLine("ERROR READONLY i-7f");
+  EXPECT_EQ(std::get<ErrorLine>(error).refusal, Refusal::kReadOnly);
+  // A code that is not known promises nothing.
+  const auto unknown = ParseEndpointLine("ERROR SOMETHING x");
+  EXPECT_EQ(std::get<ErrorLine>(unknown).refusal, Refusal::kFailed);
+  EXPECT_TRUE(
+      std::holds_alternative<std::monostate>(ParseEndpointLine("READY X 1.2")));
+}
+
+TEST(EndpointLines, StatusRow) {
+  const auto status = ParseStatusRow("replica 3 3.1209 4 12 2 17");
+  ASSERT_TRUE(status);
+  EXPECT_FALSE(status->primary);
+  EXPECT_EQ(status->term, 3U);
+  EXPECT_EQ(status->received, (GroupPosition{3, 1209}));
+  EXPECT_EQ(status->paused_below, 4U);
+  EXPECT_EQ(ParseStatusRow("replica 3 x 4"), std::nullopt);
+  EXPECT_EQ(ParseStatusRow(""), std::nullopt);
+}
+
+TEST(Replies, CarryRowsReceiptStateAndPosition) {
+  relay::StatementResult result;
+  result.rows = {"a b"};
+  result.text = "receipt";
+  result.state = relay::TxState::kOpen;
+  result.position = GroupPosition{1, 2};
+  EXPECT_EQ(EncodeReply(result),
+            "ROW a b\r\nCOMPLETE receipt\r\nREADY T 1.2\r\n");
+  relay::StatementResult refused;
+  refused.refusal = Refusal::kBusy;
+  refused.text = "retry after 10 ms";
+  EXPECT_EQ(EncodeReply(refused),
+            "ERROR BUSY retry after 10 ms\r\nREADY I -\r\n");
+}
+
+// ---- records
+
+constexpr char kEndpointRow[] =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":3,)"
+    R"("state":"ready","db_role":"primary","seq":4,"born":17})";
+
+TEST(Records, EndpointIsRead) {
+  const LakeshoreRecordCodec codec;
+  const auto endpoint = codec.DecodeEndpoint("i-1", kEndpointRow);
+  ASSERT_TRUE(endpoint);
+  EXPECT_EQ(endpoint.value().group, "s");
+  EXPECT_TRUE(endpoint.value().primary);
+  EXPECT_EQ(endpoint.value().born, 17U);
+}
+
+TEST(Records, RowsOfOtherWritersNameNoEndpoint) {
+  const LakeshoreRecordCodec codec;
+  const std::string row = kEndpointRow;
+  const auto with = [&](const std::string& from, const std::string& to) {
+    auto copy = row;
+    copy.replace(copy.find(from), from.size(), to);
+    return copy;
+  };
+  for (const auto& bad :
+       {std::string(), std::string("\xff\xfe"), std::string("[]"),
+        with("\"ready\"", "\"sleeping\""), with("\"primary\"", "\"boss\""),
+        with("\"s\"", "7"), with(",\"db_role\":\"primary\"", ""),
+        with("\"slots\":3", "\"slots\":\"3\""),
+        with("\"born\":17", "\"born\":\"x\"")}) {
+    EXPECT_FALSE(codec.DecodeEndpoint("i-1", bad)) << bad;
+  }
+}
+
+TEST(Records, ConfigIsReadAsAWholeOrNotAtAll) {
+  const LakeshoreRecordCodec codec;
+  const std::string good =
+      R"({"config_version":7,"routes":[{"name":"r","database_name":"d",)"
+      R"("route_type":"bounded_staleness","timeout_ms":2000,)"
+      R"("target_latency_ms":500,"priority":2,"service":"s",)"
+      R"("max_staleness_ms":1500,"public":false}],"services":[{"name":"s",)"
+      R"("max_conns":22,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},)"
+      R"("tenants":[{"name":"t","api_keys":["k"],"rate_per_s":1.5,)"
+      R"("burst":9}]})";
+  const auto config = codec.DecodeConfig(good);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config.value().version, 7U);
+  EXPECT_EQ(config.value().routes[0].max_staleness, Milliseconds(1500));
+  EXPECT_EQ(config.value().groups[0].max_connections, 22U);
+  EXPECT_EQ(config.value().keys.at("k"), "t");
+  EXPECT_EQ(config.value().transaction_idle, Milliseconds(3000));
+  auto bad = good;
+  bad.replace(bad.find("bounded_staleness"), 17, "something_else!!!");
+  EXPECT_FALSE(codec.DecodeConfig(bad));
+  EXPECT_FALSE(codec.DecodeConfig("{}"));
+  EXPECT_FALSE(codec.DecodeConfig("not json"));
+}
+
+TEST(Records, ZoneTakenOut) {
+  const LakeshoreRecordCodec codec;
+  EXPECT_EQ(codec.ZoneTakenOut("evacuate/z1"), "z1");
+  EXPECT_EQ(codec.ZoneTakenOut("config"), std::nullopt);
+}
+
+}  // namespace
+}  // namespace tiller::lakeshore
--- a/Source/UnitTests/Limits/token_share_test.cc
+++ b/Source/UnitTests/Limits/token_share_test.cc
@@ -206,5 +206,31 @@
   EXPECT_EQ(shares.Host(0).Level(kWorkspace, shares.Now()), 0);
 }
 
+// Load pattern: all hosts restart while callers keep coming. Each may spend its
+// part of the allowance at once, and no more.
+TEST(TokenShare, RestartedHostsStartWithTheirPartOfTheAllowance) {
+  constexpr int kHosts = 5;
+  constexpr double kAllowance = 30;
+  ManualClock clock;
+  SeededRandom random(1);
+  Counters counters;
+  double spent = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    TokenShare share("h" + std::to_string(i), &random, &counters);
+    SeatView view;
+    view.holders.resize(kHosts);
+    view.zones.resize(kHosts, "z");
+    view.held = {i};
+    view.valid_until = clock.Now() + std::chrono::hours(1);
+    share.Update({{"w", 10, 100, kAllowance}}, view, clock.Now());
+    while (share.TrySpend("w", clock.Now())) ++spent;
+    // Told again of the same seat, it gets nothing more.
+    share.Update({{"w", 10, 100, kAllowance}}, view, clock.Now());
+    EXPECT_FALSE(share.TrySpend("w", clock.Now()));
+  }
+  EXPECT_GE(spent, kAllowance - kHosts);
+  EXPECT_LE(spent, kAllowance);
+}
+
 }  // namespace
 }  // namespace tiller::limits
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -30,7 +30,10 @@
           limits::UnitRequest{"e", 19, 20},
           limits::UnitGrant{"e", 21, 22},
           limits::UnitReturn{"e", 23},
-          limits::UnitRecall{"e", 24}};
+          limits::UnitRecall{"e", 24},
+          TableDigest{{{"t", 25}}},
+          TableCopy{"t", 26, {{"k", std::string("\x00\xff", 2), 27}}},
+          StepDownRequest{"g", "e", 28}};
 }
 
 TEST(PeerMessages, RoundTripThroughJsonRpc) {
--- a/Source/UnitTests/Relay/placement_test.cc
+++ b/Source/UnitTests/Relay/placement_test.cc
@@ -84,9 +84,8 @@
 }
 
 TEST(WaitOrder, OccupiedConnectionsCount) {
-  const auto order =
-      PlacementOrder({{1, "busy", 1, At(0)}, {2, "idle", 1, At(9)}},
-                     {{"busy", 3}});
+  const auto order = PlacementOrder(
+      {{1, "busy", 1, At(0)}, {2, "idle", 1, At(9)}}, {{"busy", 3}});
   EXPECT_EQ(order.front(), 2U);
 }
 
--- a/Source/UnitTests/Support/fleet_world.cc
+++ b/Source/UnitTests/Support/fleet_world.cc
@@ -120,11 +120,11 @@
 
 bool FleetWorld::AllReplicasGoOn() const {
   const auto leader = m_endpoints.find(m_leader);
-  return std::all_of(
-      m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
-        return !item.second.alive || item.first == m_leader ||
-               item.second.paused_below <= leader->second.term;
-      });
+  return std::all_of(m_endpoints.begin(), m_endpoints.end(),
+                     [&](const auto& item) {
+                       return !item.second.alive || item.first == m_leader ||
+                              item.second.paused_below <= leader->second.term;
+                     });
 }
 
 bool FleetWorld::Reaches(int host) const {
@@ -146,8 +146,8 @@
     AnswerWatches();
     std::vector<Delivery> due;
     for (auto& delivery : std::exchange(m_deliveries, {})) {
-      const bool later = delivery.due > clock.Now() ||
-                         frozen.count(delivery.host) > 0;
+      const bool later =
+          delivery.due > clock.Now() || frozen.count(delivery.host) > 0;
       (later ? m_deliveries : due).push_back(std::move(delivery));
     }
     for (auto& delivery : due) {
@@ -191,8 +191,8 @@
 void FleetWorld::Perform(int host, const Action& action) {
   auto& row = *m_hosts[static_cast<std::size_t>(host)];
   if (const auto* read = std::get_if<ReadTable>(&action)) {
-    TableRead event{read->table, StoreStatus::kUnknown, {}, m_version,
-                    StoreNow()};
+    TableRead event{
+        read->table, StoreStatus::kUnknown, {}, m_version, StoreNow()};
     if (Reaches(host)) {
       event.status = StoreStatus::kDone;
       for (const auto& [key, item] : m_tables[read->table]) {
@@ -246,8 +246,8 @@
 void FleetWorld::AnswerWatches() {
   std::vector<Watch> open;
   for (auto& watch : std::exchange(m_watches, {})) {
-    TableChanged event{watch.follow.table, StoreStatus::kDone, {}, m_version,
-                       StoreNow()};
+    TableChanged event{
+        watch.follow.table, StoreStatus::kDone, {}, m_version, StoreNow()};
     if (!Reaches(watch.host)) {
       event.status = StoreStatus::kUnknown;
       Deliver(watch.host, event);
@@ -356,9 +356,10 @@
     endpoint.paused_below = request.term;
     stepped_down = true;
   }
-  done.result.status = relay::EndpointStatus{
-      leads && !stepped_down, endpoint.term,
-      {endpoint.term, endpoint.position}, endpoint.paused_below};
+  done.result.status = relay::EndpointStatus{leads && !stepped_down,
+                                             endpoint.term,
+                                             {endpoint.term, endpoint.position},
+                                             endpoint.paused_below};
   return done;
 }
 
--- a/Source/UnitTests/Support/fleet_world.h
+++ b/Source/UnitTests/Support/fleet_world.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/clock.h"
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -6,8 +6,7 @@
 
 namespace tiller::relay {
 
-RelayBench::RelayBench()
-    : core({"h1", "z1"}, &clock, &random, &counters) {
+RelayBench::RelayBench() : core({"h1", "z1"}, &clock, &random, &counters) {
   limits::SeatView seats;
   seats.holders = {"h1"};
   seats.zones = {"z1"};
@@ -41,8 +40,8 @@
   out.workspaces["w2"] = {"w2", 1000, 1000};
   out.groups["g"] = {"g", 8, true, "p"};
   const auto endpoint = [&](const char* id, const char* zone, bool primary) {
-    out.endpoints[id] = {id,    "g",   std::string(id) + ":1", zone, primary,
-                         false, 3,     1};
+    out.endpoints[id] = {id, "g", std::string(id) + ":1", zone, primary, false,
+                         3,  1};
   };
   endpoint("p", "z1", true);
   endpoint("r1", "z1", false);
@@ -63,7 +62,8 @@
 
 void RelayBench::Say(SessionId session, Verb verb, const std::string& text,
                      const std::string& name, const std::string& argument) {
-  Handle(StatementReceived{session, "q" + std::to_string(m_next_request++),
+  Handle(StatementReceived{session,
+                           "q" + std::to_string(m_next_request++),
                            {verb, text, name, argument}});
 }
 
@@ -171,11 +171,9 @@
 }
 
 std::size_t RelayBench::OpenAt(const EndpointId& endpoint) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_connections.begin(), m_connections.end(),
-                    [&](const auto& item) {
-                      return item.second.endpoint == endpoint;
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      m_connections.begin(), m_connections.end(),
+      [&](const auto& item) { return item.second.endpoint == endpoint; }));
 }
 
 }  // namespace tiller::relay
