--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -193,6 +193,8 @@
       if (!TakeToken(session)) break;
       OperationAdmitted(session);
     }
+    // A host that had nothing to lend will not have it a moment later.
+    if (grant->granted > 0) AskForTokens(grant->workspace);
   }
   TakeShareMessages();
 }
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -73,6 +73,7 @@
   void StartRequest(Session* session, const StatementReceived& event);
   Refusal CheckRoute(Session* session) const;
   bool TakeToken(Session* session);
+  void AskForTokens(const WorkspaceId& workspace);
   void OperationAdmitted(Session* session);
   void EndTransaction(Session* session, TxState state);
   void AnswerLocally(Session* session);
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -157,7 +157,21 @@
   request.phase_until =
       request.arrived +
       std::min<Duration>(kTokenWait, session->route.target_latency / 4);
-  m_tokens.Demand(session->workspace, 1, Now());
+  AskForTokens(session->workspace);
+}
+
+// Asks other hosts for what waits here, and a little ahead: the next callers
+// of a workspace that is short of tokens are on their way.
+void RelayCore::AskForTokens(const WorkspaceId& workspace) {
+  constexpr std::size_t kAhead = 2;
+  const auto waiting = std::count_if(
+      m_sessions.begin(), m_sessions.end(), [&](const auto& item) {
+        const auto& session = item.second;
+        return session.workspace == workspace && session.request &&
+               session.request->phase == Phase::kToken;
+      });
+  if (waiting == 0) return;
+  m_tokens.Demand(workspace, static_cast<std::size_t>(waiting) + kAhead, Now());
   TakeShareMessages();
 }
 
