--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -190,6 +190,9 @@
         idle ? bucket->level
              : std::max<MicroTokens>(bucket->level - kMicroPerToken, 0) / 2;
     grant.granted = std::clamp<MicroTokens>(message.wanted, 0, spare);
+    // A fraction would rarely admit a request and costs as many messages.
+    const auto least = std::min<MicroTokens>(message.wanted, kMicroPerToken);
+    if (grant.granted < least) grant.granted = 0;
     if (grant.granted > 0) {
       bucket->level -= grant.granted;
       bucket->reserved.push_back({from, message.request_id, grant.granted,
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -272,7 +272,7 @@
       std::chrono::duration<double, std::micro>(Now() - request.arrived)
           .count());
   m_counters->Add("answered_" + std::string(NameOf(kVerbNames, verb)));
-  log::Event(log::Channel::kTraffic, log::Level::kDebug, "request_answered",
+  log::Event(log::Channel::kTraffic, log::Level::kInfo, "request_answered",
              {{"request", request.id},
               {"workspace", session->workspace},
               {"endpoint", connection->endpoint},
