Hold the seat that stands in this host's name

Change: a row in the host's name with a running lease is held from the read on, until the lease in the row ends; a test fails without it.

--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -62,6 +62,10 @@
   m_call = (*next_call)++;
   m_call_seat = target;
   m_call_is_new = target >= m_seats.size();
+  if (m_call_is_new) {
+    m_appended = target;
+    m_appended_at = now;
+  }
   m_call_sent = now;
   return WriteRow{m_call, kSeatTable, SeatKey(target), Encode(estimated),
                   m_call_is_new ? 0 : m_seats[target].version};
@@ -109,6 +113,7 @@
   // Rows are never removed, so positions in the table are stable.
   if (seats.size() < m_seats.size()) return false;
   m_seats = std::move(seats);
+  if (!m_held) AdoptOwnSeat();
   if (m_held && m_seats[*m_held].host != m_self.host) {
     log::Event(log::Channel::kMembership, log::Level::kWarn, "seat_lost",
                {{"seat", std::to_string(*m_held)}});
@@ -118,6 +123,25 @@
   return true;
 }
 
+// A row in this host's name is of its earlier process, or of a write whose
+// answer was lost. Others may take it only after the lease in it.
+void SeatTable::AdoptOwnSeat() {
+  for (std::size_t i = 0; i < m_seats.size(); ++i) {
+    if (m_seats[i].host != m_self.host) continue;
+    const auto left = m_seats[i].renewed + kLease - kLeaseMargin - m_store_now;
+    if (left.count() <= 0) continue;
+    m_held = i;
+    m_valid_until = m_store_asked + left;
+    m_usable_from = m_appended == i ? m_appended_at + kNewSeatDelay
+                                    : m_clock->Now();
+    m_activation_told = false;
+    log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_adopted",
+               {{"seat", std::to_string(i)},
+                {"left_ms", std::to_string(left.count())}});
+    return;
+  }
+}
+
 bool SeatTable::Handle(const RowWritten& event) {
   m_call = 0;
   const auto now = m_clock->Now();
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -61,6 +61,7 @@
   };
   std::optional<std::size_t> ChooseSeat() const;
   std::string Encode(StoreTime now) const;
+  void AdoptOwnSeat();
 
   const SeatIdentity m_self;
   const Clock* const m_clock;
@@ -84,6 +85,9 @@
   std::size_t m_call_seat = 0;
   bool m_call_is_new = false;
   Instant m_call_sent{};
+  // The seat that this process tried to add, which may have taken effect.
+  std::optional<std::size_t> m_appended;
+  Instant m_appended_at{};
 };
 
 }  // namespace tiller::fleet
--- a/Source/UnitTests/Fleet/fleet_core_test.cc
+++ b/Source/UnitTests/Fleet/fleet_core_test.cc
@@ -75,6 +75,31 @@
   EXPECT_EQ(world.SeatsOf(2).held, seat);
 }
 
+// Seen in incident inc-ce9a: answers of the store were lost while a host
+// restarted, and it refused everything beyond what it could borrow for 5 s.
+TEST(Seats, RestartedHostHoldsItsSeatThoughAnswersToWritesAreLost) {
+  FleetWorld world(4, 3, 7);
+  world.Run(seconds(12));
+  const auto seat = world.SeatsOf(2).held;
+  world.lose_answer_of = 1;
+  world.Restart(2);
+  world.Run(seconds(1));
+  EXPECT_EQ(world.SeatsOf(2).held, seat);
+  EXPECT_GT(world.SeatsOf(2).valid_until, world.clock.Now());
+}
+
+TEST(Seats, LapsedOwnSeatIsNotHeldWithoutAWrite) {
+  FleetWorld world(2, 3, 8);
+  world.Run(seconds(12));
+  world.frozen = {0, 1};
+  world.Run(seconds(40));
+  world.frozen.clear();
+  world.lose_answer_of = 1;
+  world.Restart(1);
+  world.Run(Milliseconds(300));
+  EXPECT_LT(world.SeatsOf(1).valid_until, world.clock.Now());
+}
+
 TEST(Seats, LeaseEndsOnTheHoldersClockBeforeOthersMayTakeIt) {
   FleetWorld world(3, 3, 6);
   world.Run(seconds(12));
