Serve latency histograms with the counters

Cause: on-call engineers asked for histograms; only quantiles were served. Change: cumulative counts by bound, 1 ms to 10 s, after the counters.

--- a/Source/Common/counters.cc
+++ b/Source/Common/counters.cc
@@ -37,6 +37,12 @@
   }
   it->second.p50(microseconds);
   it->second.p99(microseconds);
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  const auto bound =
+      std::lower_bound(kBucketBoundsMs.begin(), kBucketBoundsMs.end(),
+                       microseconds / kMicrosecondsPerMillisecond);
+  const auto bucket = static_cast<std::size_t>(bound - kBucketBoundsMs.begin());
+  ++it->second.buckets[bucket];
 }
 
 std::map<std::string, double> Counters::Snapshot() const {
@@ -59,6 +65,19 @@
   out.precision(15);
   for (const auto& [name, value] : Snapshot())
     out << name << ' ' << value << '\n';
+  for (const auto& [name, latency] : m_latencies) {
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < latency.buckets.size(); ++i) {
+      below += latency.buckets[i];
+      out << name << "_ms_bucket{le=\"";
+      if (i < kBucketBoundsMs.size()) {
+        out << kBucketBoundsMs[i];
+      } else {
+        out << "+Inf";
+      }
+      out << "\"} " << below << '\n';
+    }
+  }
   return out.str();
 }
 
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -132,8 +132,8 @@
     if (left.count() <= 0) continue;
     m_held = i;
     m_valid_until = m_store_asked + left;
-    m_usable_from = m_appended == i ? m_appended_at + kNewSeatDelay
-                                    : m_clock->Now();
+    m_usable_from =
+        m_appended == i ? m_appended_at + kNewSeatDelay : m_clock->Now();
     m_activation_told = false;
     log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_adopted",
                {{"seat", std::to_string(i)},
