--- a/Source/Common/log.cc
+++ b/Source/Common/log.cc
@@ -143,6 +143,11 @@
   return out;
 }
 
+std::string MillisecondsText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
 std::optional<Level> LevelNamed(std::string_view name) {
   return ValueOf<Level>(kLevelNames, name);
 }
--- a/Source/Common/log.h
+++ b/Source/Common/log.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "Common/types.h"
+
 namespace tiller::log {
 
 enum class Channel {
@@ -46,6 +48,8 @@
 
 // " key=value", as within a line.
 std::string FormatField(std::string_view key, const std::string& value);
+// Whole milliseconds, as the value of a field.
+std::string MillisecondsText(Duration duration);
 std::optional<Level> LevelNamed(std::string_view name);
 
 }  // namespace tiller::log
--- /dev/null
+++ b/Source/Common/overloaded.h
@@ -0,0 +1,13 @@
+// Builds a visitor of a variant from one lambda per alternative.
+#pragma once
+
+namespace tiller {
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace tiller
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -37,6 +37,8 @@
 
 inline constexpr char kPrimaryTable[] = "primaries";
 
+inline constexpr char kUnfinished[] = "unfinished";
+
 class PrimaryFailover {
  public:
   PrimaryFailover(HostId self, ZoneId zone, const Clock* clock,
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -40,15 +40,19 @@
   return false;
 }
 
-bool TableFollower::Handle(const TableRead& event) {
-  m_calling = false;
-  if (event.status != StoreStatus::kDone) return Failed(event.status);
+void TableFollower::Answered() {
   if (m_failures > 0) {
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "store_regained",
                {{"table", m_table}});
   }
   m_failures = 0;
   m_last_answer = m_clock->Now();
+}
+
+bool TableFollower::Handle(const TableRead& event) {
+  m_calling = false;
+  if (event.status != StoreStatus::kDone) return Failed(event.status);
+  Answered();
   m_read_needed = false;
   m_after = event.version;
   // A read that began before another host's newer copy was adopted.
@@ -71,12 +75,7 @@
     return false;
   }
   if (event.status != StoreStatus::kDone) return Failed(event.status);
-  if (m_failures > 0) {
-    log::Event(log::Channel::kPlatform, log::Level::kInfo, "store_regained",
-               {{"table", m_table}});
-  }
-  m_failures = 0;
-  m_last_answer = m_clock->Now();
+  Answered();
   m_after = std::max(m_after, event.version);
   bool changed = false;
   for (const auto& row : event.rows) {
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -38,6 +38,7 @@
 
  private:
   bool Failed(StoreStatus status);
+  void Answered();
 
   const std::string m_table;
   const Clock* const m_clock;
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -25,11 +25,6 @@
 // A retry that can't be answered within this time is not started.
 constexpr Milliseconds kRetryFloor{20};
 
-std::string Text(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<Milliseconds>(duration).count());
-}
-
 }  // namespace
 
 bool RelayCore::IsWrite(const Session& session,
@@ -272,15 +267,16 @@
       std::chrono::duration<double, std::micro>(Now() - request.arrived)
           .count());
   m_counters->Add("answered_" + std::string(NameOf(kVerbNames, verb)));
-  log::Event(log::Channel::kTraffic, log::Level::kInfo, "request_answered",
-             {{"request", request.id},
-              {"workspace", session->workspace},
-              {"endpoint", connection->endpoint},
-              {"verb", std::string(NameOf(kVerbNames, verb))},
-              {"attempts", std::to_string(request.attempts + 1)},
-              {"wait_ms", Text(request.placed - request.arrived)},
-              {"align_ms", Text(request.forwarded - request.placed)},
-              {"run_ms", Text(Now() - request.forwarded)}});
+  log::Event(
+      log::Channel::kTraffic, log::Level::kInfo, "request_answered",
+      {{"request", request.id},
+       {"workspace", session->workspace},
+       {"endpoint", connection->endpoint},
+       {"verb", std::string(NameOf(kVerbNames, verb))},
+       {"attempts", std::to_string(request.attempts + 1)},
+       {"wait_ms", log::MillisecondsText(request.placed - request.arrived)},
+       {"align_ms", log::MillisecondsText(request.forwarded - request.placed)},
+       {"run_ms", log::MillisecondsText(Now() - request.forwarded)}});
   auto answer = result;
   if (verb == Verb::kCommit) {
     connection->in_transaction = false;
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -21,11 +21,6 @@
 // long enough for a promotion, and short enough for the caller to retry.
 constexpr double kFailoverWaitShare = 0.45;
 
-std::string Text(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<Milliseconds>(duration).count());
-}
-
 StatementResult Refused(Refusal refusal, std::string text, TxState state) {
   StatementResult result;
   result.refusal = refusal;
@@ -309,7 +304,7 @@
               {"reason", reason},
               {"sent", request.sent ? "yes" : "no"},
               {"attempts", std::to_string(request.attempts)},
-              {"age_ms", Text(Now() - request.arrived)},
+              {"age_ms", log::MillisecondsText(Now() - request.arrived)},
               {"directory",
                m_directory ? std::to_string(m_directory->version) : "none"}});
   ReplyAndForget(session, Refused(refusal, reason, session->state));
