--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -154,7 +154,6 @@
     copy.primary = group != out->groups.end() && group->second.primary == id;
   }
   out->transaction_idle = m_config->transaction_idle;
-  ++m_built;
   return out;
 }
 
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -75,7 +75,6 @@
   std::set<ZoneId> m_zones_out;
   std::map<EndpointId, Entry> m_entries;
   std::map<EndpointId, RowVersion> m_unreadable;
-  std::uint64_t m_built = 0;
 };
 
 }  // namespace tiller::fleet
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -122,7 +122,6 @@
   bool reported_silent = false;
   std::optional<Instant> without_primary_since;
   Duration silent_for{};  // of the primary, as of the last tick
-  Instant last_strict_use{};
 };
 
 }  // namespace tiller::relay
--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -129,8 +129,7 @@
 struct Group {
   GroupId name;
   std::size_t max_connections = 0;  // per endpoint, from all hosts together
-  bool synchronous = false;  // a commit is held by a replica when acknowledged
-  EndpointId primary;        // empty: none known
+  EndpointId primary;               // empty: none known
 };
 
 struct Endpoint {
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -78,7 +78,6 @@
 bool RelayCore::PlaceOnPrimary(Session* session) {
   auto& request = *session->request;
   const auto* primary = PrimaryOf(session->route.group);
-  m_groups[session->route.group].last_strict_use = Now();
   if (primary == nullptr || !PrimaryUsable(session->route.group)) return false;
   auto* connection = IdleConnection(primary->id, session->workspace);
   if (connection != nullptr) {
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -311,7 +311,6 @@
 }
 
 void RelayCore::ReplyAndForget(Session* session, StatementResult result) {
-  const auto group = session->route.group;
   session->request.reset();
   session->last_active = Now();
   m_actions.push_back(Reply{session->id, std::move(result)});
--- a/Source/UnitTests/Support/fleet_world.cc
+++ b/Source/UnitTests/Support/fleet_world.cc
@@ -24,7 +24,7 @@
 Result<FleetConfig> WorldCodec::DecodeConfig(const std::string& value) const {
   FleetConfig config;
   config.version = std::stoull(value);
-  config.groups.push_back({kGroup, 10, true, {}});
+  config.groups.push_back({kGroup, 10, {}});
   config.workspaces.push_back({"w", 10, 10});
   return config;
 }
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -38,7 +38,7 @@
   out.keys = {{"k1", "w1"}, {"k2", "w2"}};
   out.workspaces["w1"] = {"w1", 1000, 1000};
   out.workspaces["w2"] = {"w2", 1000, 1000};
-  out.groups["g"] = {"g", 8, true, "p"};
+  out.groups["g"] = {"g", 8, "p"};
   const auto endpoint = [&](const char* id, const char* zone, bool primary) {
     out.endpoints[id] = {id, "g", std::string(id) + ":1", zone, primary, false,
                          3,  1};
