--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -16,10 +16,8 @@
 constexpr double kMaxClockDrift = 0.01;
 // A home seat should be able to hold at least this many whole tokens.
 constexpr double kMinTokensPerSeat = 2;
-// A bucket that was empty gains a token in some tens of milliseconds; asking a
-// workspace's exhausted buckets more often only costs messages.
-constexpr Milliseconds kMinBackoff{20};
-constexpr Milliseconds kMaxBackoff{640};
+constexpr Milliseconds kMinBackoff{10};
+constexpr Milliseconds kMaxBackoff{160};
 constexpr std::size_t kMaxAskedAtOnce = 3;
 // A host without a spend for this long lends all it has.
 constexpr Milliseconds kIdleAfter{200};
