End a change of primary when its group is removed

Cause: read in the review of the change: a claim confirmed after the operator had removed the group looked the group up and threw, which ends the process. Change: jobs of groups that are not in the directory are dropped; the test threw before the change.

--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -38,6 +38,10 @@
 
 void PrimaryFailover::SetDirectory(relay::DirectoryPtr directory) {
   m_directory = std::move(directory);
+  // A group that the operator removed has nothing left to change.
+  std::erase_if(m_jobs, [&](const auto& item) {
+    return m_directory->groups.count(item.first) == 0;
+  });
   for (auto& [group, job] : m_jobs) PauseNewcomers(group, &job);
 }
 
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -95,6 +95,36 @@
   EXPECT_TRUE(world.breaches.empty());
 }
 
+// The operator removes a group while its primary is being replaced.
+TEST(Failover, GroupRemovedDuringAChangeEndsTheChange) {
+  ManualClock clock;
+  Counters counters;
+  PrimaryFailover failover("h1", "z1", &clock, &counters);
+  CallId next_call = 1;
+  relay::Directory directory;
+  directory.groups["g"] = {"g", 10, "p"};
+  for (const auto* id : {"p", "r"}) {
+    directory.endpoints[id].id = id;
+    directory.endpoints[id].group = "g";
+  }
+  directory.endpoints["p"].leaving = true;
+  failover.SetDirectory(std::make_shared<relay::Directory>(directory));
+  failover.SetInformed(true);
+  failover.Tick({{"g", 0}});
+  failover.Tick({{"g", 0}});
+  failover.Handle(
+      TableRead{kPrimaryTable, StoreStatus::kDone, {}, 1, StoreTime(1)});
+  CallId claim = 0;
+  for (const auto& action : failover.TakeActions(&next_call)) {
+    if (const auto* write = std::get_if<WriteRow>(&action)) claim = write->call;
+  }
+  ASSERT_NE(claim, 0U);
+  failover.SetDirectory(std::make_shared<relay::Directory>());
+  failover.Handle(RowWritten{claim, StoreStatus::kDone, 2, StoreTime(2)});
+  failover.Tick({});
+  EXPECT_TRUE(failover.TakeActions(&next_call).empty());
+}
+
 // Kills, leaving primaries, frozen and cut-off hosts, lost answers, in series.
 void RunRandomFaults(std::uint64_t seed) {
   FleetWorld world(4, 4, seed);
