--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -104,9 +104,17 @@
   job->claim_sent = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_until = m_clock->Now() + kClaimTimeout;
-  job->pending.push_back(WriteRow{
-      0, kPrimaryTable, group,
-      EncodeClaim(m_self, job->claim.token, now, false, {}), claim.version});
+  WriteClaim(group, job, false, {});
+}
+
+// Writes the claim as it stands; the row must not have changed since.
+void PrimaryFailover::WriteClaim(const GroupId& group, Job* job, bool finished,
+                                 const EndpointId& target) {
+  job->pending.push_back(
+      WriteRow{0, kPrimaryTable, group,
+               EncodeClaim(m_self, job->claim.token, job->claim.claimed,
+                           finished, target),
+               job->claim.version});
 }
 
 bool PrimaryFailover::ClaimIsFresh(const GroupId& group, Job* job) {
@@ -117,11 +125,7 @@
   job->claim.claimed +=
       std::chrono::duration_cast<StoreTime>(now - job->claim_sent);
   job->claim_sent = now;
-  job->pending.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, job->claim.claimed, false,
-                           job->target),
-               job->claim.version});
+  WriteClaim(group, job, false, job->target);
   return false;
 }
 
@@ -184,10 +188,7 @@
   if (!holds_claim) return;
   // Another host may reach what this one does not.
   job->not_before = m_clock->Now() + kGiveWay;
-  job->pending.push_back(WriteRow{
-      0, kPrimaryTable, group,
-      EncodeClaim(m_self, job->claim.token, job->claim.claimed, true, {}),
-      job->claim.version});
+  WriteClaim(group, job, true, {});
 }
 
 void PrimaryFailover::Finish(const GroupId& group, Job* job) {
@@ -196,11 +197,7 @@
              {{"group", group},
               {"target", job->target},
               {"token", std::to_string(job->claim.token)}});
-  job->pending.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, job->claim.claimed, true,
-                           job->target),
-               job->claim.version});
+  WriteClaim(group, job, true, job->target);
   job->stage = Stage::kIdle;
   job->not_before = m_clock->Now() + kSettle;
   job->left_paused = false;
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -33,6 +33,8 @@
 constexpr Milliseconds kPromoteRetry{600};
 constexpr Milliseconds kPromoteGiveUp{12'000};
 constexpr char kLeaving[] = "leaving";
+constexpr char kNoPrimary[] = "no_primary";
+constexpr char kSilent[] = "silent";
 
 }  // namespace
 
@@ -74,85 +76,85 @@
                                      const Job& job) const {
   const auto& row = m_directory->groups.at(group);
   const auto primary = m_directory->endpoints.find(row.primary);
-  if (primary == m_directory->endpoints.end()) return "no_primary";
+  if (primary == m_directory->endpoints.end()) return kNoPrimary;
   if (primary->second.leaving) return kLeaving;
   if (job.silent_endpoint == row.primary && job.silent_for >= kSuspectAfter) {
-    return "silent";
+    return kSilent;
   }
   return {};
 }
 
 void PrimaryFailover::Tick(const std::map<GroupId, std::size_t>& turns) {
   if (!m_directory) return;
-  const auto now = m_clock->Now();
   for (const auto& [group, row] : m_directory->groups) {
     auto& job = m_jobs[group];
-    if (job.stage == Stage::kPromoting) {
-      if (now >= job.stage_until) {
-        GiveUp(group, &job, "promotion got no answer");
-      } else if (now >= job.promote_again && !job.promote_outstanding &&
-                 ClaimIsFresh(group, &job)) {
-        SendPromote(group, &job);
-      }
-      continue;
-    }
     const auto turn = turns.find(group);
     const std::size_t place =
         std::min(turn == turns.end() ? kMaxTurns : turn->second, kMaxTurns);
-    NotePrimary(group, &job, place);
-    if (job.stage == Stage::kResuming) {
-      Resume(group, &job);
-      continue;
-    }
-    if (job.stage == Stage::kSteppingDown) {
-      const bool shipped = job.stepped_down_at && now >= job.pause_from;
-      if (shipped || now >= job.stage_until) StartPause(group, &job);
-      continue;
+    if (job.stage != Stage::kPromoting) NotePrimary(group, &job, place);
+    if (job.stage == Stage::kIdle) {
+      Watch(group, &job, place);
+    } else {
+      Advance(group, &job);
     }
-    if (job.stage == Stage::kPausing && now >= job.stage_until) {
-      GiveUp(group, &job, "a replica did not answer");
-      continue;
-    }
-    if (job.stage != Stage::kIdle) {
-      if (now >= job.stage_until) {
-        GiveUp(group, &job,
-               job.stage == Stage::kProbing ? "a replica did not answer"
-                                            : "store did not answer");
-      }
-      continue;
-    }
-    const auto trigger = Trigger(group, job);
-    if (trigger.empty()) {
-      job.suspected_since = {};
-      if (job.check_claim_at && now >= *job.check_claim_at && !m_reading) {
-        job.check_claim_at.reset();
-        job.reason = kUnfinished;
-        StartRead(group, &job);
-      }
-      continue;
-    }
-    if (job.suspected_since == Instant{}) {
-      job.suspected_since = now;
-      log::Event(log::Channel::kFailover, log::Level::kInfo,
-                 "primary_suspected",
-                 {{"group", group},
-                  {"endpoint", row.primary},
-                  {"reason", trigger},
-                  {"silent_ms",
-                   std::to_string(
-                       std::chrono::duration_cast<Milliseconds>(job.silent_for)
-                           .count())}});
-    }
-    Duration grace{};
-    if (trigger == "no_primary") {
-      grace = job.known_primary.empty() ? kFirstPrimaryGrace : kNoPrimaryGrace;
+  }
+}
+
+void PrimaryFailover::Advance(const GroupId& group, Job* job) {
+  const auto now = m_clock->Now();
+  const bool overdue = now >= job->stage_until;
+  switch (job->stage) {
+    case Stage::kIdle:
+      return;
+    case Stage::kReading:
+    case Stage::kClaiming:
+      if (overdue) GiveUp(group, job, "store did not answer");
+      return;
+    case Stage::kProbing:
+    case Stage::kPausing:
+      if (overdue) GiveUp(group, job, "a replica did not answer");
+      return;
+    case Stage::kSteppingDown: {
+      const bool shipped = job->stepped_down_at && now >= job->pause_from;
+      if (shipped || overdue) StartPause(group, job);
+      return;
     }
-    const auto start = job.suspected_since + grace + kTurn * place;
-    if (now < start || now < job.not_before || m_reading) continue;
-    if (!m_informed) continue;
-    job.reason = trigger;
-    StartRead(group, &job);
+    case Stage::kPromoting:
+      if (overdue) return GiveUp(group, job, "promotion got no answer");
+      if (now < job->promote_again || job->promote_outstanding) return;
+      if (ClaimIsFresh(group, job)) SendPromote(group, job);
+      return;
+    case Stage::kResuming:
+      return Resume(group, job);
+  }
+}
+
+void PrimaryFailover::Watch(const GroupId& group, Job* job, std::size_t place) {
+  const auto now = m_clock->Now();
+  const auto trigger = Trigger(group, *job);
+  if (trigger.empty()) {
+    job->suspected_since = {};
+    if (!job->check_claim_at || now < *job->check_claim_at || m_reading) return;
+    job->check_claim_at.reset();
+    job->reason = kUnfinished;
+    return StartRead(group, job);
+  }
+  if (job->suspected_since == Instant{}) {
+    job->suspected_since = now;
+    log::Event(log::Channel::kFailover, log::Level::kInfo, "primary_suspected",
+               {{"group", group},
+                {"endpoint", m_directory->groups.at(group).primary},
+                {"reason", trigger},
+                {"silent_ms", log::MillisecondsText(job->silent_for)}});
+  }
+  Duration grace{};
+  if (trigger == kNoPrimary) {
+    grace = job->known_primary.empty() ? kFirstPrimaryGrace : kNoPrimaryGrace;
   }
+  const auto start = job->suspected_since + grace + kTurn * place;
+  if (now < start || now < job->not_before || m_reading || !m_informed) return;
+  job->reason = trigger;
+  StartRead(group, job);
 }
 
 void PrimaryFailover::Handle(const RowWritten& event) {
@@ -174,11 +176,7 @@
                 {"reason", job.reason},
                 {"token", std::to_string(job.claim.token)}});
     // The directory may have changed since the suspicion.
-    if (job.reason != kUnfinished && Trigger(group, job).empty()) {
-      job.target = m_directory->groups.at(group).primary;
-      return StartResume(group, &job);
-    }
-    if (job.reason == kUnfinished) {
+    if (job.reason == kUnfinished || Trigger(group, job).empty()) {
       job.target = m_directory->groups.at(group).primary;
       return StartResume(group, &job);
     }
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -132,10 +132,16 @@
     std::vector<Action> pending;
   };
 
+  // Moves a job on whose time has come.
+  void Advance(const GroupId& group, Job* job);
+  // Looks for a reason to begin a job.
+  void Watch(const GroupId& group, Job* job, std::size_t place);
   std::string Trigger(const GroupId& group, const Job& job) const;
   void StartRead(const GroupId& group, Job* job);
   void OnClaimRead(const GroupId& group, Job* job, const Claim& claim,
                    StoreTime now);
+  void WriteClaim(const GroupId& group, Job* job, bool finished,
+                  const EndpointId& target);
   // True if orders may be given now; else a renewal is under way.
   bool ClaimIsFresh(const GroupId& group, Job* job);
   void OnRenewed(const GroupId& group, Job* job, const RowWritten& event);
