Spend scarce tokens on operations that can still be on time

Change: a session remembers its refused operation and when it first came; late ones get what the bucket holds beyond half, and are placed after the others.

--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -123,12 +123,17 @@
   return sum;
 }
 
-bool TokenShare::TrySpend(const WorkspaceId& workspace, Instant now) {
+bool TokenShare::TrySpend(const WorkspaceId& workspace, Instant now,
+                          TokenUse use) {
   auto* bucket = Find(workspace);
   if (bucket == nullptr || !Usable(now)) return false;
   Refill(bucket, now);
   bucket->last_spend = now;
-  if (bucket->level < kMicroPerToken) return false;
+  const MicroTokens beyond_one =
+      std::max<MicroTokens>(bucket->cap - kMicroPerToken, 0);
+  const MicroTokens least =
+      kMicroPerToken + (use == TokenUse::kSurplus ? beyond_one / 2 : 0);
+  if (bucket->level < least) return false;
   bucket->level -= kMicroPerToken;
   return true;
 }
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -33,6 +33,13 @@
   double restart_allowance = 0;
 };
 
+enum class TokenUse {
+  kAny,
+  // Only what the bucket holds beyond half of its capacity, which it does
+  // while the workspace asks for less than its rate.
+  kSurplus
+};
+
 class TokenShare {
  public:
   TokenShare(HostId self, Random* random, Counters* counters);
@@ -44,7 +51,8 @@
               Instant now);
 
   // Takes one token; false when none is there.
-  bool TrySpend(const WorkspaceId& workspace, Instant now);
+  bool TrySpend(const WorkspaceId& workspace, Instant now,
+                TokenUse use = TokenUse::kAny);
   // Asks other hosts for tokens that `waiting` requests need.
   void Demand(const WorkspaceId& workspace, std::size_t waiting, Instant now);
   // Time until this host's own share refills by one token.
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -188,6 +188,11 @@
       if (!session.request || session.request->phase != Phase::kToken) continue;
       if (session.workspace == grant->workspace) waiting.push_back(id);
     }
+    // The oldest operation has the least time left.
+    std::sort(waiting.begin(), waiting.end(), [&](SessionId a, SessionId b) {
+      return m_sessions.at(a).operation.first_arrived <
+             m_sessions.at(b).operation.first_arrived;
+    });
     for (const auto id : waiting) {
       auto* session = FindSession(id);
       if (!TakeToken(session)) break;
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -72,6 +72,10 @@
   void StartOperation(Session* session, const StatementReceived& event);
   void StartRequest(Session* session, const StatementReceived& event);
   Refusal CheckRoute(Session* session) const;
+  // Finds out whether the statement is another attempt of an operation.
+  void NoteAttempt(Session* session);
+  // The operation can't be answered within its target latency any more.
+  bool IsLate(const Session& session) const;
   bool TakeToken(Session* session);
   void AskForTokens(const WorkspaceId& workspace);
   void OperationAdmitted(Session* session);
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -47,6 +47,16 @@
   std::string shape;
 };
 
+// One operation of a caller over all its attempts: after a refusal the same
+// statement comes again on the same session, under a new id.
+struct Operation {
+  std::string text;  // of its first statement
+  Instant first_arrived;
+  // When the last attempt was refused with nothing kept; unset while an
+  // attempt is in progress.
+  std::optional<Instant> refused;
+};
+
 struct Session {
   SessionId id = 0;
   std::string database;
@@ -55,6 +65,7 @@
   // As of the operation or transaction in progress: a changed route applies
   // from the next one.
   Route route;
+  Operation operation;
   std::map<std::string, std::string> options;
   std::map<std::string, PreparedStatement> prepared;
   TxState state = TxState::kIdle;
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -443,7 +443,7 @@
     if (!session.request || session.route.group != group) continue;
     if (session.request->phase != Phase::kConnection) continue;
     waiters.push_back({id, session.workspace, session.route.priority,
-                       session.request->arrived});
+                       session.request->arrived, IsLate(session)});
   }
   if (waiters.empty()) return;
   std::map<WorkspaceId, std::size_t> in_service;
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -17,10 +17,30 @@
 // A loan of a token takes two exchanges between hosts; a longer wait would
 // only delay the caller's next try.
 constexpr Milliseconds kTokenWait{20};
+// The same statement within this time of a refusal is another attempt; longer
+// than any pause that a refusal names.
+constexpr Milliseconds kReturnWindow{600};
+// Part of the target latency that an admitted operation takes to be served.
+constexpr double kServeShare = 0.25;
 // While a primary is being replaced, a request waits this share of its limit:
 // long enough for a promotion, and short enough for the caller to retry.
 constexpr double kFailoverWaitShare = 0.45;
 
+// The caller was told that nothing of the attempt is kept, so it may try again.
+bool IsPromise(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kBusy:
+    case Refusal::kAborted:
+    case Refusal::kLagging:
+    case Refusal::kReadOnly:
+    case Refusal::kMisrouted:
+    case Refusal::kTooMany:
+      return true;
+    default:
+      return false;
+  }
+}
+
 StatementResult Refused(Refusal refusal, std::string text, TxState state) {
   StatementResult result;
   result.refusal = refusal;
@@ -146,8 +166,17 @@
       session->prepared.count(event.statement.name) == 0) {
     return Refuse(session, Refusal::kNoStatement, "no such name");
   }
+  NoteAttempt(session);
   m_retries.Earn();
   if (TakeToken(session)) return OperationAdmitted(session);
+  if (IsLate(*session)) {
+    m_counters->Add("refused_late_over_rate");
+    return Refuse(session, Refusal::kBusy,
+                  "rate exceeded and too late, retry after " +
+                      std::to_string(
+                          m_tokens.RefillTime(session->workspace).count()) +
+                      " ms");
+  }
   request.phase = Phase::kToken;
   request.phase_until =
       request.arrived +
@@ -189,9 +218,35 @@
   return Refusal::kNone;
 }
 
+void RelayCore::NoteAttempt(Session* session) {
+  auto& operation = session->operation;
+  const auto& request = *session->request;
+  const bool again =
+      operation.refused && Now() - *operation.refused <= kReturnWindow &&
+      Now() - operation.first_arrived <= session->route.statement_timeout &&
+      operation.text == request.statement.text;
+  if (!again) {
+    operation.text = request.statement.text;
+    operation.first_arrived = request.arrived;
+  }
+  operation.refused.reset();
+}
+
+bool RelayCore::IsLate(const Session& session) const {
+  const auto serve = std::chrono::duration_cast<Duration>(
+      session.route.target_latency * kServeShare);
+  return Now() + serve >
+         session.operation.first_arrived + session.route.target_latency;
+}
+
+// A workspace that asks beyond its rate can't have all its operations served.
+// Tokens then go to those that can still be on time; late ones get what these
+// leave.
 bool RelayCore::TakeToken(Session* session) {
   if (m_directory->workspaces.count(session->workspace) == 0) return true;
-  return m_tokens.TrySpend(session->workspace, Now());
+  return m_tokens.TrySpend(
+      session->workspace, Now(),
+      IsLate(*session) ? limits::TokenUse::kSurplus : limits::TokenUse::kAny);
 }
 
 void RelayCore::OperationAdmitted(Session* session) {
@@ -294,6 +349,7 @@
 void RelayCore::Refuse(Session* session, Refusal refusal,
                        const std::string& reason) {
   const auto& request = *session->request;
+  if (IsPromise(refusal)) session->operation.refused = Now();
   m_counters->Add("refused_" + std::string(NameOf(kRefusalNames, refusal)));
   log::Event(log::Channel::kTraffic, log::Level::kInfo, "request_refused",
              {{"request", request.id},
@@ -305,6 +361,8 @@
               {"sent", request.sent ? "yes" : "no"},
               {"attempts", std::to_string(request.attempts)},
               {"age_ms", log::MillisecondsText(Now() - request.arrived)},
+              {"operation_age_ms",
+               log::MillisecondsText(Now() - session->operation.first_arrived)},
               {"directory",
                m_directory ? std::to_string(m_directory->version) : "none"}});
   ReplyAndForget(session, Refused(refusal, reason, session->state));
--- a/Source/Relay/wait_order.cc
+++ b/Source/Relay/wait_order.cc
@@ -12,8 +12,8 @@
     std::map<WorkspaceId, std::size_t> in_service) {
   std::sort(waiters.begin(), waiters.end(),
             [](const Waiter& a, const Waiter& b) {
-              return std::tie(a.priority, a.arrived, a.session) <
-                     std::tie(b.priority, b.arrived, b.session);
+              return std::tie(a.late, a.priority, a.arrived, a.session) <
+                     std::tie(b.late, b.priority, b.arrived, b.session);
             });
   std::map<WorkspaceId, std::deque<Waiter>> lanes;
   for (auto& waiter : waiters) lanes[waiter.workspace].push_back(waiter);
@@ -24,10 +24,10 @@
         lanes.begin(), lanes.end(), [&](const auto& a, const auto& b) {
           const auto& first = a.second.front();
           const auto& second = b.second.front();
-          return std::make_tuple(in_service[a.first], first.priority,
-                                 first.arrived) <
-                 std::make_tuple(in_service[b.first], second.priority,
-                                 second.arrived);
+          return std::make_tuple(first.late, in_service[a.first],
+                                 first.priority, first.arrived) <
+                 std::make_tuple(second.late, in_service[b.first],
+                                 second.priority, second.arrived);
         });
     order.push_back(next->second.front().session);
     ++in_service[next->first];
--- a/Source/Relay/wait_order.h
+++ b/Source/Relay/wait_order.h
@@ -3,7 +3,8 @@
 // Load pattern: one workspace sends many times its usual while an endpoint is
 // short of connections. First come, first served would let its backlog delay
 // everybody. Here the workspace with the least in service goes first, so a
-// backlog delays only its own workspace.
+// backlog delays only its own workspace. Requests that are late already, the
+// retries of those that were refused, come after all that can be on time.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +20,8 @@
   WorkspaceId workspace;
   int priority = 0;  // 0 is the highest
   Instant arrived;
+  // Its operation can't meet its target latency any more.
+  bool late = false;
 };
 
 // Sessions in the order in which they should be placed. `in_service` counts
--- a/Source/UnitTests/Relay/placement_test.cc
+++ b/Source/UnitTests/Relay/placement_test.cc
@@ -89,6 +89,16 @@
   EXPECT_EQ(order.front(), 2U);
 }
 
+// Load pattern: a group is short of connections and what was refused comes
+// back; serving it first would make those late that are on time now.
+TEST(WaitOrder, LateRequestsComeAfterThoseThatCanBeOnTime) {
+  const auto order = PlacementOrder({{1, "a", 1, At(0), true},
+                                     {2, "a", 1, At(5), false},
+                                     {3, "b", 1, At(9), false}},
+                                    {{"b", 2}});
+  EXPECT_EQ(order, (std::vector<std::uint64_t>{2, 3, 1}));
+}
+
 // ---- choice of an endpoint for a read
 
 ReadCandidate Candidate(const char* id) {
