Lend tokens to hosts that have no room or no seat; new seats wait for loans

Cause: a property run with random seeds failed in one of four runs: after a seat moved, its last holder's loans were still on their way while the new holder filled the seat's part of the bucket (20.05 tokens of 20). Looking closer, loans beyond the borrower's capacity vanished, and a host without a seat of the workspace (more hosts than half of the burst) could not borrow at all. Change: the part of a gained seat is not usable for a loan's lifetime; loans beyond the capacity are kept apart and count as the lender's until they lapse; requests are split over the hosts that are asked; a lender gives its last token.

--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -87,16 +87,24 @@
   bucket->refill_per_ns = bucket->limit.rate * per_seat *
                           static_cast<double>(held.size()) * kMicroPerToken /
                           1e9;
+  if (bucket->new_cap_until <= now) bucket->new_cap = 0;
+  bucket->new_cap = std::min(bucket->new_cap, cap_of(kept));
   bucket->level = std::clamp<MicroTokens>(
       bucket->level, 0,
-      std::max<MicroTokens>(cap_of(kept) - Reserved(bucket, now), 0));
-  const auto allowance = static_cast<MicroTokens>(
-      bucket->limit.restart_allowance * per_seat *
-      static_cast<double>(held.size() - kept) * kMicroPerToken);
-  bucket->level = std::max(
-      bucket->level,
-      std::min(bucket->level + allowance, bucket->cap - Reserved(bucket, now)));
+      std::max<MicroTokens>(
+          cap_of(kept) - bucket->new_cap - Reserved(bucket, now), 0));
+  const auto gained = cap_of(held.size() - kept);
+  const auto allowance = std::min(
+      gained, static_cast<MicroTokens>(
+                  bucket->limit.restart_allowance * per_seat *
+                  static_cast<double>(held.size() - kept) * kMicroPerToken));
+  bucket->level += allowance;
   bucket->refilled = now;
+  if (gained == 0) return;
+  // Tokens that the last holder of a seat lent may still be on their way; they
+  // fill the seat's part of the bucket until they have arrived or lapsed.
+  bucket->new_cap += gained - allowance;
+  bucket->new_cap_until = now + WithDrift(kGrantLifetime);
 }
 
 void TokenShare::Refill(Bucket* bucket, Instant now) const {
@@ -110,9 +118,14 @@
   const auto whole = static_cast<MicroTokens>(std::floor(earned));
   bucket->remainder = earned - static_cast<double>(whole);
   bucket->refilled = until;
-  const auto room = bucket->cap - Reserved(bucket, now);
-  bucket->level =
-      std::max(bucket->level, std::min(bucket->level + whole, room));
+  bucket->level = std::max(bucket->level,
+                           std::min(bucket->level + whole, Room(bucket, now)));
+}
+
+// How high the level may be now.
+MicroTokens TokenShare::Room(Bucket* bucket, Instant now) {
+  if (bucket->new_cap_until <= now) bucket->new_cap = 0;
+  return bucket->cap - bucket->new_cap - Reserved(bucket, now);
 }
 
 MicroTokens TokenShare::Reserved(Bucket* bucket, Instant now) {
@@ -133,11 +146,27 @@
       std::max<MicroTokens>(bucket->cap - kMicroPerToken, 0);
   const MicroTokens least =
       kMicroPerToken + (use == TokenUse::kSurplus ? beyond_one / 2 : 0);
-  if (bucket->level < least) return false;
-  bucket->level -= kMicroPerToken;
+  const auto borrowed = Borrowed(bucket, now);
+  if (bucket->level + borrowed < least) return false;
+  MicroTokens due = kMicroPerToken;
+  for (auto& loan : bucket->loans) {
+    const auto part = std::min(due, loan.amount);
+    loan.amount -= part;
+    due -= part;
+  }
+  bucket->level -= due;
   return true;
 }
 
+MicroTokens TokenShare::Borrowed(Bucket* bucket, Instant now) {
+  std::erase_if(bucket->loans, [&](const auto& loan) {
+    return loan.until <= now || loan.amount == 0;
+  });
+  MicroTokens sum = 0;
+  for (const auto& loan : bucket->loans) sum += loan.amount;
+  return sum;
+}
+
 void TokenShare::Demand(const WorkspaceId& workspace, std::size_t waiting,
                         Instant now) {
   auto* bucket = Find(workspace);
@@ -151,16 +180,19 @@
     if (holder.empty() || holder == m_self) continue;
     if (bucket->peers[holder].next_ask <= now) candidates.insert(holder);
   }
+  const auto missing = static_cast<MicroTokens>(waiting) * kMicroPerToken -
+                       bucket->level - Borrowed(bucket, now);
+  if (missing <= 0 || bucket->asked.size() >= kMaxAskedAtOnce) return;
   std::vector<HostId> order(candidates.begin(), candidates.end());
-  const auto missing = static_cast<MicroTokens>(waiting) * kMicroPerToken;
-  const auto wanted = std::min(missing, bucket->cap) - bucket->level;
-  if (wanted <= 0) return;
-  while (!order.empty() && bucket->asked.size() < kMaxAskedAtOnce) {
-    const auto pick = m_random->Below(order.size());
-    const HostId host = order[pick];
-    order.erase(order.begin() + static_cast<std::ptrdiff_t>(pick));
+  Shuffle(&order);
+  order.resize(std::min(order.size(), kMaxAskedAtOnce - bucket->asked.size()));
+  // Each is asked for a part, since a loan that is not spent is lost.
+  const auto whole = (missing + kMicroPerToken - 1) / kMicroPerToken;
+  const auto asked = static_cast<MicroTokens>(order.size());
+  for (const auto& host : order) {
     auto& peer = bucket->peers[host];
     peer.next_ask = now + kGrantLifetime;
+    const auto wanted = (whole + asked - 1) / asked * kMicroPerToken;
     TokenRequest request{workspace, m_next_request++, wanted,
                          std::exchange(peer.settled, {})};
     bucket->asked[request.request_id] = {host, now};
@@ -169,6 +201,12 @@
   }
 }
 
+void TokenShare::Shuffle(std::vector<HostId>* hosts) {
+  for (std::size_t i = hosts->size(); i > 1; --i) {
+    std::swap((*hosts)[i - 1], (*hosts)[m_random->Below(i)]);
+  }
+}
+
 Milliseconds TokenShare::RefillTime(const WorkspaceId& workspace) const {
   const auto it = m_buckets.find(workspace);
   constexpr Milliseconds kUnknown{1000};
@@ -191,11 +229,11 @@
     const bool idle = now - bucket->last_spend > kIdleAfter;
     const auto spare =
         idle ? bucket->level
-             : std::max<MicroTokens>(bucket->level - kMicroPerToken, 0) / 2;
+             : std::max<MicroTokens>(bucket->level / 2, kMicroPerToken);
     grant.granted = std::clamp<MicroTokens>(message.wanted, 0, spare);
     // A fraction would rarely admit a request and costs as many messages.
     const auto least = std::min<MicroTokens>(message.wanted, kMicroPerToken);
-    if (grant.granted < least) grant.granted = 0;
+    if (std::min(grant.granted, bucket->level) < least) grant.granted = 0;
     if (grant.granted > 0) {
       bucket->level -= grant.granted;
       bucket->reserved.push_back({from, message.request_id, grant.granted,
@@ -216,12 +254,9 @@
   if (asked == bucket->asked.end() || asked->second.host != from) {
     return std::nullopt;
   }
-  const bool late = now - asked->second.sent > kGrantLifetime;
+  const auto lapses = asked->second.sent + kGrantLifetime;
   bucket->asked.erase(asked);
   auto& peer = bucket->peers[from];
-  if (peer.settled.size() < kMaxSettledListed) {
-    peer.settled.push_back(message.request_id);
-  }
   if (message.granted <= 0) {
     peer.backoff =
         std::clamp<Duration>(peer.backoff * 2, kMinBackoff, kMaxBackoff);
@@ -230,16 +265,24 @@
   }
   peer.backoff = Duration{};
   peer.next_ask = now;
-  if (late) {
+  if (now > lapses) {
     m_counters->Add("tokens_lost_late");
     return std::nullopt;
   }
   Refill(bucket, now);
-  const auto room = bucket->cap - Reserved(bucket, now) - bucket->level;
-  const auto accepted = std::clamp<MicroTokens>(message.granted, 0,
-                                                std::max<MicroTokens>(room, 0));
-  bucket->level += accepted;
-  m_counters->Add("tokens_borrowed", static_cast<std::uint64_t>(accepted));
+  const auto room = Room(bucket, now) - bucket->level;
+  m_counters->Add("tokens_borrowed",
+                  static_cast<std::uint64_t>(message.granted));
+  if (message.granted <= room) {
+    bucket->level += message.granted;
+    if (peer.settled.size() < kMaxSettledListed) {
+      peer.settled.push_back(message.request_id);
+    }
+    return message.workspace;
+  }
+  // Beyond the bucket's own capacity a loan counts as the lender's, which
+  // keeps it reserved until it lapses.
+  bucket->loans.push_back({message.granted, lapses});
   return message.workspace;
 }
 
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -83,6 +83,11 @@
     HostId host;
     Instant sent;
   };
+  // Borrowed tokens that the lender still has reserved.
+  struct Loan {
+    MicroTokens amount = 0;
+    Instant until;
+  };
   struct Peer {
     Instant next_ask{};
     Duration backoff{};
@@ -94,11 +99,15 @@
     std::vector<int> held;  // those held by this host
     MicroTokens level = 0;  // 0 <= level, level + reserved <= cap
     MicroTokens cap = 0;
+    // Part of the cap that came with new seats and can't be used yet.
+    MicroTokens new_cap = 0;
+    Instant new_cap_until{};
     double refill_per_ns = 0;
     double remainder = 0;  // fraction of a micro token, in [0, 1)
     Instant refilled{};
     Instant last_spend{};
     std::vector<Reservation> reserved;
+    std::vector<Loan> loans;
     std::map<std::uint64_t, Asked> asked;
     std::map<HostId, Peer> peers;
   };
@@ -107,6 +116,9 @@
   void SetSeats(Bucket* bucket, const SeatView& seats, Instant now);
   void Refill(Bucket* bucket, Instant now) const;
   static MicroTokens Reserved(Bucket* bucket, Instant now);
+  static MicroTokens Room(Bucket* bucket, Instant now);
+  static MicroTokens Borrowed(Bucket* bucket, Instant now);
+  void Shuffle(std::vector<HostId>* hosts);
   bool Usable(Instant now) const { return now < m_seats.valid_until; }
 
   const HostId m_self;
--- a/Source/UnitTests/Limits/token_share_test.cc
+++ b/Source/UnitTests/Limits/token_share_test.cc
@@ -7,6 +7,8 @@
 
 #include <deque>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "Common/clock.h"
 
@@ -16,6 +18,7 @@
 constexpr double kRate = 50;
 constexpr double kBurst = 20;
 constexpr char kWorkspace[] = "w";
+constexpr int kSkewedSeconds = 10;
 
 struct Sent {
   HostId from;
@@ -25,7 +28,7 @@
 // Hosts with one seat each, and a network that does what the test tells it.
 class Shares {
  public:
-  explicit Shares(int hosts) {
+  explicit Shares(int hosts, std::uint64_t seed = 7) : m_random(seed) {
     for (int i = 0; i < hosts; ++i) {
       m_hosts.push_back(
           std::make_unique<TokenShare>(Name(i), &m_random, &m_counters));
@@ -110,7 +113,7 @@
 
  private:
   ManualClock m_clock;
-  SeededRandom m_random{7};
+  SeededRandom m_random;
   Counters m_counters;
   std::vector<std::unique_ptr<TokenShare>> m_hosts;
   std::vector<std::vector<int>> m_held;
@@ -118,74 +121,128 @@
   std::deque<Sent> m_network;
 };
 
+// Plays what `steps` say on four hosts. Returns the first breach, or nothing.
+std::string PlayHistory(const std::vector<int>& steps) {
+  Shares shares(4);
+  const auto start = shares.Now();
+  double spent = 0;
+  for (const int step : steps) {
+    const int host = step % 4;
+    const auto index = static_cast<std::size_t>(step / 100);
+    switch (step / 4 % 8) {
+      case 0:
+      case 1:
+        if (shares.Host(host).TrySpend(kWorkspace, shares.Now())) ++spent;
+        break;
+      case 2:
+        shares.Host(host).Demand(kWorkspace, 10, shares.Now());
+        break;
+      case 3:
+        shares.Deliver(index, false);
+        break;
+      case 4:
+        shares.Deliver(index, true);  // arrives again later
+        break;
+      case 5:
+        shares.Drop(index);
+        break;
+      case 6:
+        shares.Clock().Advance(Milliseconds(step % 150));
+        break;
+      case 7:
+        if (step % 5 == 0) shares.MoveSeats(host, (host + 1) % 4);
+        break;
+    }
+    const double elapsed =
+        std::chrono::duration<double>(shares.Now() - start).count();
+    const auto total = shares.Total();
+    if (total > static_cast<MicroTokens>(kBurst * kMicroPerToken)) {
+      return "held " + std::to_string(total);
+    }
+    if (spent > kBurst + kRate * elapsed + 1e-6) {
+      return "spent " + std::to_string(spent);
+    }
+  }
+  return {};
+}
+
 TEST(TokenShare, NeverHoldsOrSpendsMoreThanBurstAndRate) {
   const bool held = rc::check(
       "sum of levels and flights <= burst; spent <= burst + rate * time", [] {
-        Shares shares(4);
-        const auto start = shares.Now();
-        double spent = 0;
         const auto steps = *rc::gen::container<std::vector<int>>(
             200, rc::gen::inRange(0, 100'000));
-        for (const int step : steps) {
-          const int host = step % 4;
-          const auto index = static_cast<std::size_t>(step / 100);
-          switch (step / 4 % 8) {
-            case 0:
-            case 1:
-              if (shares.Host(host).TrySpend(kWorkspace, shares.Now())) {
-                ++spent;
-              }
-              break;
-            case 2:
-              shares.Host(host).Demand(kWorkspace, 10, shares.Now());
-              break;
-            case 3:
-              shares.Deliver(index, false);
-              break;
-            case 4:
-              shares.Deliver(index, true);  // arrives again later
-              break;
-            case 5:
-              shares.Drop(index);
-              break;
-            case 6:
-              shares.Clock().Advance(Milliseconds(step % 150));
-              break;
-            case 7:
-              if (step % 5 == 0) shares.MoveSeats(host, (host + 1) % 4);
-              break;
-          }
-          const double elapsed =
-              std::chrono::duration<double>(shares.Now() - start).count();
-          RC_ASSERT(shares.Total() <=
-                    static_cast<MicroTokens>(kBurst * kMicroPerToken));
-          RC_ASSERT(spent <= kBurst + kRate * elapsed + 1e-6);
-        }
+        RC_ASSERT(PlayHistory(steps) == "");
       });
   EXPECT_TRUE(held);
 }
 
-TEST(TokenShare, SkewedDemandGetsTheWholeRate) {
-  Shares shares(9);
+// A seat moves while tokens that it lent are on their way; seed
+// 14439297372636104179 of the property above, shrunk.
+TEST(TokenShare, MovedSeatEarnsNothingWhileItsLoansAreInFlight) {
+  std::vector<int> steps(76, 0);
+  const auto add = [&](std::size_t zeros, int step) {
+    steps.insert(steps.end(), zeros, 0);
+    steps.push_back(step);
+  };
+  add(0, 17820);
+  add(13, 4777);
+  add(11, 440);
+  add(4, 3401);
+  add(4, 19820);
+  add(0, 830);
+  add(20, 1451);
+  add(9, 652);
+  add(7, 1164);
+  add(1, 5420);
+  add(17, 140);
+  add(5, 10552);
+  add(3, 1356);
+  add(16, 1708);
+  EXPECT_EQ(PlayHistory(steps), "");
+}
+
+// Operations of one host that are admitted in ten seconds, when all callers of
+// the workspace come to that host and ask for 0.9 of the rate.
+int SpentBySkewedDemand(Shares* shares, int host) {
+  constexpr Milliseconds kStep{5};
   int spent = 0;
-  constexpr int kSeconds = 10;
-  for (int i = 0; i < kSeconds * 200; ++i) {
-    shares.Clock().Advance(Milliseconds(5));
-    // All requests arrive at one host, at 0.9 of the rate.
+  for (int i = 0; i < kSkewedSeconds * 200; ++i) {
+    shares->Clock().Advance(kStep);
     const double due = 0.9 * kRate * (i + 1) * 0.005;
     int waiting = 0;
     while (spent + waiting < static_cast<int>(due)) {
-      if (!shares.Host(0).TrySpend(kWorkspace, shares.Now())) {
+      if (!shares->Host(host).TrySpend(kWorkspace, shares->Now())) {
         ++waiting;
         continue;
       }
       ++spent;
     }
-    shares.Host(0).Demand(kWorkspace, static_cast<std::size_t>(waiting),
-                          shares.Now());
-    shares.DeliverAll();
+    shares->Host(host).Demand(kWorkspace, static_cast<std::size_t>(waiting),
+                              shares->Now());
+    shares->DeliverAll();
+  }
+  return spent;
+}
+
+TEST(TokenShare, SkewedDemandGetsTheWholeRate) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Shares shares(9, seed);
+    EXPECT_GE(SpentBySkewedDemand(&shares, 0),
+              static_cast<int>(0.9 * kRate * kSkewedSeconds) - 2)
+        << "seed " << seed;
+  }
+}
+
+// With more hosts than the burst can be divided among, most have no seat of
+// the workspace and live on loans.
+TEST(TokenShare, HostWithoutASeatOfTheWorkspaceBorrows) {
+  constexpr int kHosts = 30;
+  for (int host = 0; host < kHosts; ++host) {
+    Shares shares(kHosts, 7);
+    EXPECT_GE(SpentBySkewedDemand(&shares, host),
+              static_cast<int>(0.9 * kRate * kSkewedSeconds) - 2)
+        << "host " << host;
   }
-  EXPECT_GE(spent, static_cast<int>(0.9 * kRate * kSeconds) - 2);
 }
 
 TEST(TokenShare, LapsedSeatSpendsNothing) {
