Count seats from a moment known to all; use the restart allowance once, on record

After all hosts were killed, callers within their rate were refused since only 0.45 of the tolerance could be used, in case of a second restart in the same window. A store away for over 28 s stopped all admission. Change: a seat's row says when it begins to count; a seat whose lease ran out stops counting; leases of 60 s. A start is on record in the row, so the first in 10 s may use 0.8 of the tolerance and a second one nothing.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -183,7 +183,7 @@
 
 void FleetCore::On(const TimerFired&) {
   if (m_builder.ExpireMissing()) Publish();
-  if (m_seats.Activated()) PublishSeats();
+  if (m_seats.CountChanged()) PublishSeats();
   std::map<GroupId, std::size_t> turns;
   if (m_directory) {
     for (const auto& [group, row] : m_directory->groups) {
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -13,16 +13,24 @@
 
 // Longer than the outages of the store that hosts should bridge; a lost host's
 // share stays unused for as long.
-constexpr Milliseconds kLease{30'000};
+constexpr Milliseconds kLease{60'000};
 // The holder stops earlier than others may take over, for drift of clocks.
 constexpr Milliseconds kLeaseMargin{2'000};
-constexpr Milliseconds kRenewEvery{8'000};
+constexpr Milliseconds kRenewEvery{10'000};
 constexpr Milliseconds kReadEvery{5'000};
 // Hosts start together and learn of each other quickly.
 constexpr Milliseconds kFirstReadEvery{900};
 constexpr int kFirstReads = 5;
-// A seat added to the table shrinks every share; others have read it by then.
-constexpr Milliseconds kNewSeatDelay{6'000};
+// By then all hosts that reach the store have read a row, see kReadEvery.
+constexpr Milliseconds kKnownAfter{6'000};
+// A seat ceases to count this long after its lease; until half of it its host
+// may take it back with its share.
+constexpr Milliseconds kForgottenAfter{2 * kKnownAfter};
+// A second start within this time, twice the usual window of rates, gets no
+// allowance.
+constexpr Milliseconds kRestartWindow{10'000};
+// What a process may use of the allowance before its start is on record.
+constexpr double kUnrecordedShare = 0.5;
 constexpr Milliseconds kRetryAfter{400};
 constexpr Milliseconds kConflictSpread{300};
 constexpr int kKeyDigits = 4;
@@ -36,39 +44,56 @@
 
 }  // namespace
 
-std::string SeatTable::Encode(StoreTime now) const {
+std::string SeatTable::Encode(const Seat& seat) const {
   Json::Value out;
-  out["host"] = m_self.host;
-  out["address"] = m_self.address;
-  out["zone"] = m_self.zone;
-  out["renewed"] = Json::Int64(now.count());
+  out["host"] = seat.host;
+  out["address"] = seat.address;
+  out["zone"] = seat.zone;
+  out["renewed"] = Json::Int64(seat.renewed.count());
+  out["counts_from"] = Json::Int64(seat.counts_from.count());
+  out["adopted"] = Json::Int64(seat.adopted.count());
   return ToText(out);
 }
 
+// Not before the store's own time.
+StoreTime SeatTable::StoreNow() const {
+  return m_store_now + std::chrono::duration_cast<Milliseconds>(m_clock->Now() -
+                                                                m_store_asked);
+}
+
+// The row that makes `seat` this host's, or keeps it.
+SeatTable::Seat SeatTable::Renewed(std::size_t seat) const {
+  Seat row;
+  row.host = m_self.host;
+  row.address = m_self.address;
+  row.zone = m_self.zone;
+  row.renewed = StoreNow();
+  row.adopted = m_held ? m_adopted : row.renewed;
+  row.counts_from = row.renewed + kKnownAfter;
+  if (seat >= m_seats.size()) return row;
+  const auto& before = m_seats[seat];
+  row.version = before.version;
+  const bool counted = row.renewed < before.renewed + kLease + kKnownAfter;
+  if (counted) row.counts_from = before.counts_from;
+  return row;
+}
+
 std::optional<Action> SeatTable::NextCall(CallId* next_call) {
   const auto now = m_clock->Now();
   if (m_reading || m_call != 0) return std::nullopt;
   if (!m_loaded || now >= m_read_at) {
     m_reading = true;
-    m_store_asked = now;
+    m_read_asked = now;
     return ReadTable{kSeatTable};
   }
   if (now < m_renew_at) return std::nullopt;
   const auto seat = m_held ? m_held : ChooseSeat();
-  const auto target = seat.value_or(m_seats.size());
-  const StoreTime estimated =
-      m_store_now +
-      std::chrono::duration_cast<Milliseconds>(now - m_store_asked);
   m_call = (*next_call)++;
-  m_call_seat = target;
-  m_call_is_new = target >= m_seats.size();
-  if (m_call_is_new) {
-    m_appended = target;
-    m_appended_at = now;
-  }
+  m_call_seat = seat.value_or(m_seats.size());
+  m_call_row = Renewed(m_call_seat);
   m_call_sent = now;
-  return WriteRow{m_call, kSeatTable, SeatKey(target), Encode(estimated),
-                  m_call_is_new ? 0 : m_seats[target].version};
+  return WriteRow{m_call, kSeatTable, SeatKey(m_call_seat), Encode(m_call_row),
+                  m_call_row.version};
 }
 
 // The own seat of an earlier process, else one whose lease has run out.
@@ -93,6 +118,7 @@
   m_read_at = now + (m_reads < kFirstReads ? kFirstReadEvery : kReadEvery);
   m_loaded = true;
   m_store_now = event.now;
+  m_store_asked = m_read_asked;
   std::vector<Seat> seats;
   for (const auto& row : event.rows) {
     const auto json = ParseJson(row.value);
@@ -102,8 +128,13 @@
       seat.host = StringOr(json.value(), "host");
       seat.address = StringOr(json.value(), "address");
       seat.zone = StringOr(json.value(), "zone");
-      seat.renewed = StoreTime(
-          static_cast<StoreTime::rep>(UintOr(json.value(), "renewed")));
+      const auto time = [&](const char* name) {
+        return StoreTime(
+            static_cast<StoreTime::rep>(UintOr(json.value(), name)));
+      };
+      seat.renewed = time("renewed");
+      seat.counts_from = time("counts_from");
+      seat.adopted = time("adopted");
     } else {
       log::Event(log::Channel::kMembership, log::Level::kWarn,
                  "seat_unreadable", {{"seat", row.key}});
@@ -127,17 +158,20 @@
 // answer was lost. Others may take it only after the lease in it.
 void SeatTable::AdoptOwnSeat() {
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
-    if (m_seats[i].host != m_self.host) continue;
-    const auto left = m_seats[i].renewed + kLease - kLeaseMargin - m_store_now;
+    const auto& seat = m_seats[i];
+    if (seat.host != m_self.host) continue;
+    const auto left = seat.renewed + kLease - kLeaseMargin - m_store_now;
     if (left.count() <= 0) continue;
     m_held = i;
     m_valid_until = m_store_asked + left;
-    m_usable_from =
-        m_appended == i ? m_appended_at + kNewSeatDelay : m_clock->Now();
-    m_activation_told = false;
+    const bool again = m_store_now - seat.adopted < kRestartWindow;
+    m_restart_share = again ? 0 : kUnrecordedShare;
+    m_adopted = StoreNow();
+    m_renew_at = m_clock->Now();
     log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_adopted",
                {{"seat", std::to_string(i)},
-                {"left_ms", std::to_string(left.count())}});
+                {"left_ms", std::to_string(left.count())},
+                {"restart_share", std::to_string(m_restart_share)}});
     return;
   }
 }
@@ -146,25 +180,24 @@
   m_call = 0;
   const auto now = m_clock->Now();
   if (event.status == StoreStatus::kDone) {
-    if (m_call_is_new) m_seats.resize(m_call_seat + 1);
+    if (m_call_seat >= m_seats.size()) m_seats.resize(m_call_seat + 1);
     auto& seat = m_seats[m_call_seat];
-    const bool taken = !m_held;
-    const bool own = seat.host == m_self.host;
-    seat.host = m_self.host;
-    seat.address = m_self.address;
-    seat.zone = m_self.zone;
+    seat = m_call_row;
     seat.version = event.version;
-    m_held = m_call_seat;
     m_valid_until = m_call_sent + kLease - kLeaseMargin;
     m_renew_at = now + kRenewEvery;
-    if (taken) {
-      m_usable_from = own || !m_call_is_new ? now : now + kNewSeatDelay;
-      m_activation_told = false;
-      m_read_at = now;
-      log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_taken",
-                 {{"seat", std::to_string(m_call_seat)},
-                  {"new", m_call_is_new ? "yes" : "no"}});
+    if (m_held) {
+      if (m_restart_share > 0) m_restart_share = 1;
+      return true;
     }
+    m_held = m_call_seat;
+    m_adopted = seat.adopted;
+    m_restart_share = kUnrecordedShare;
+    m_read_at = now;
+    log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_taken",
+               {{"seat", std::to_string(m_call_seat)},
+                {"counts_in_ms",
+                 std::to_string((seat.counts_from - StoreNow()).count())}});
     return true;
   }
   // A conflict or a lost answer: the table tells what holds now.
@@ -177,24 +210,35 @@
   return false;
 }
 
-bool SeatTable::Activated() {
-  if (m_activation_told || !m_held || m_clock->Now() < m_usable_from) {
-    return false;
+std::vector<int> SeatTable::CountedSeats() const {
+  std::vector<int> counted;
+  for (std::size_t i = 0; i < m_seats.size(); ++i) {
+    const auto& seat = m_seats[i];
+    if (seat.counts_from > StoreNow()) continue;
+    // Judged by the store's time of the last read: while the store is away,
+    // leases are not renewed by anybody.
+    if (seat.renewed + kLease + kForgottenAfter <= m_store_now) continue;
+    counted.push_back(static_cast<int>(i));
   }
-  m_activation_told = true;
-  return true;
+  return counted;
 }
 
-limits::SeatView SeatTable::View() const {
+bool SeatTable::CountChanged() const { return CountedSeats() != m_counted; }
+
+limits::SeatView SeatTable::View() {
   limits::SeatView view;
   for (const auto& seat : m_seats) {
     view.holders.push_back(seat.host);
     view.zones.push_back(seat.zone);
   }
-  if (m_held && m_clock->Now() >= m_usable_from) {
-    view.held.push_back(static_cast<int>(*m_held));
+  m_counted = CountedSeats();
+  view.counted = m_counted;
+  const auto held = m_held ? static_cast<int>(*m_held) : -1;
+  if (std::count(m_counted.begin(), m_counted.end(), held) > 0) {
+    view.held.push_back(held);
   }
   view.valid_until = m_valid_until;
+  view.restart_share = m_restart_share;
   return view;
 }
 
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -6,6 +6,10 @@
 // by its own clock, counted from before it wrote the row; others may take it
 // only later, by the store's clock. A restarted host takes its own seat back
 // at once, since its earlier process is gone.
+//
+// All hosts divide limits by the seats that count. A new seat counts from a
+// moment, on the store's clock, by which all have read its row; a seat whose
+// lease ran out stops counting later than its host may take it back as it was.
 #pragma once
 
 #include <optional>
@@ -38,10 +42,10 @@
   bool Handle(const TableRead& event);
   bool Handle(const RowWritten& event);
   bool OwnsCall(CallId call) const { return m_call == call && call != 0; }
-  // True once, when a seat that was waiting became usable.
-  bool Activated();
+  // True if seats began or ceased to count since the last view.
+  bool CountChanged() const;
 
-  limits::SeatView View() const;
+  limits::SeatView View();
   struct Peer {
     std::string host;
     std::string address;
@@ -57,37 +61,44 @@
     std::string address;
     ZoneId zone;
     StoreTime renewed{0};
+    StoreTime counts_from{0};
+    // When the holder's process took the seat over from an earlier one.
+    StoreTime adopted{0};
     RowVersion version = 0;
   };
   std::optional<std::size_t> ChooseSeat() const;
-  std::string Encode(StoreTime now) const;
+  std::string Encode(const Seat& seat) const;
+  Seat Renewed(std::size_t seat) const;
   void AdoptOwnSeat();
+  StoreTime StoreNow() const;
+  std::vector<int> CountedSeats() const;
 
   const SeatIdentity m_self;
   const Clock* const m_clock;
   Random* const m_random;
   std::vector<Seat> m_seats;
   std::optional<std::size_t> m_held;
-  // Own clock: the lease ends, and the seat may be used from.
-  Instant m_valid_until{};
-  Instant m_usable_from{};
-  bool m_activation_told = false;
+  Instant m_valid_until{};  // end of the lease on the own clock
+  // Seats that counted in the last view.
+  std::vector<int> m_counted;
+  // See SeatView. All may be used only once a row says that this process has
+  // begun, so that the next one knows.
+  double m_restart_share = 0;
+  StoreTime m_adopted{0};
   // Store's clock at the last answer, and own clock before that call.
   StoreTime m_store_now{0};
   Instant m_store_asked{};
   bool m_loaded = false;
   bool m_reading = false;
   int m_reads = 0;
+  Instant m_read_asked{};
   Instant m_read_at{};
   Instant m_renew_at{};
   // The write in progress.
   CallId m_call = 0;
   std::size_t m_call_seat = 0;
-  bool m_call_is_new = false;
+  Seat m_call_row;
   Instant m_call_sent{};
-  // The seat that this process tried to add, which may have taken effect.
-  std::optional<std::size_t> m_appended;
-  Instant m_appended_at{};
 };
 
 }  // namespace tiller::fleet
--- a/Source/Limits/seat_view.h
+++ b/Source/Limits/seat_view.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,9 +18,21 @@
   // address requests, never to decide what this host may spend.
   std::vector<HostId> holders;
   std::vector<ZoneId> zones;
+  // Seats that divide the limits now, all if empty. A seat that was just added
+  // does not yet, and one whose holder is long gone does not any more.
+  std::vector<int> counted;
   // Seats held by this host, usable before `valid_until` on its own clock.
   std::vector<int> held;
   Instant valid_until{};
+  // Part of the restart allowance that this process may use, in [0, 1].
+  double restart_share = 1;
+
+  std::vector<int> Counted() const {
+    if (!counted.empty()) return counted;
+    std::vector<int> all(zones.size());
+    std::iota(all.begin(), all.end(), 0);
+    return all;
+  }
 
   bool Holds(int seat) const {
     return std::find(held.begin(), held.end(), seat) != held.end();
--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <set>
 #include <utility>
 
@@ -28,12 +27,6 @@
                                               (1.0 + kMaxClockDrift));
 }
 
-std::vector<int> AllSeats(std::size_t count) {
-  std::vector<int> seats(count);
-  std::iota(seats.begin(), seats.end(), 0);
-  return seats;
-}
-
 }  // namespace
 
 TokenShare::TokenShare(HostId self, Random* random, Counters* counters)
@@ -48,25 +41,27 @@
                         const SeatView& seats, Instant now) {
   // Tokens earned until now belong to the old seats.
   for (auto& [name, bucket] : m_buckets) Refill(&bucket, now);
+  const double restart_share_before = m_seats.restart_share;
   m_seats = seats;
   std::set<WorkspaceId> present;
   for (const auto& limit : limits) {
     present.insert(limit.workspace);
     auto& bucket = m_buckets[limit.workspace];
     bucket.limit = limit;
-    SetSeats(&bucket, seats, now);
+    SetSeats(&bucket, seats, restart_share_before, now);
   }
   std::erase_if(m_buckets, [&](const auto& item) {
     return present.count(item.first) == 0;
   });
 }
 
-void TokenShare::SetSeats(Bucket* bucket, const SeatView& seats, Instant now) {
+void TokenShare::SetSeats(Bucket* bucket, const SeatView& seats,
+                          double restart_share_before, Instant now) {
+  const auto counted = seats.Counted();
   const auto spread = std::clamp<std::size_t>(
       static_cast<std::size_t>(bucket->limit.burst / kMinTokensPerSeat), 1,
-      std::max<std::size_t>(seats.zones.size(), 1));
-  bucket->home =
-      RankSeats(bucket->limit.workspace, AllSeats(seats.zones.size()), spread);
+      std::max<std::size_t>(counted.size(), 1));
+  bucket->home = RankSeats(bucket->limit.workspace, counted, spread);
   std::vector<int> held;
   for (const int seat : bucket->home) {
     if (seats.Holds(seat)) held.push_back(seat);
@@ -93,18 +88,27 @@
       bucket->level, 0,
       std::max<MicroTokens>(
           cap_of(kept) - bucket->new_cap - Reserved(bucket, now), 0));
+  const auto allowance = [&](std::size_t count, double share) {
+    return std::min(cap_of(count),
+                    static_cast<MicroTokens>(
+                        bucket->limit.restart_allowance * share * per_seat *
+                        static_cast<double>(count) * kMicroPerToken));
+  };
+  // A kept seat may use more of the allowance than it could at first.
+  const auto more = allowance(
+      kept, std::max(seats.restart_share - restart_share_before, 0.0));
+  bucket->new_cap = std::max<MicroTokens>(bucket->new_cap - more, 0);
   const auto gained = cap_of(held.size() - kept);
-  const auto allowance = std::min(
-      gained, static_cast<MicroTokens>(
-                  bucket->limit.restart_allowance * per_seat *
-                  static_cast<double>(held.size() - kept) * kMicroPerToken));
-  bucket->level += allowance;
+  const auto given = allowance(held.size() - kept, seats.restart_share);
   bucket->refilled = now;
-  if (gained == 0) return;
-  // Tokens that the last holder of a seat lent may still be on their way; they
-  // fill the seat's part of the bucket until they have arrived or lapsed.
-  bucket->new_cap += gained - allowance;
-  bucket->new_cap_until = now + WithDrift(kGrantLifetime);
+  if (gained > 0) {
+    // Tokens that the last holder of a seat lent may still be on their way;
+    // they fill the seat's part of the bucket until they arrive or lapse.
+    bucket->new_cap += gained - given;
+    bucket->new_cap_until = now + WithDrift(kGrantLifetime);
+  }
+  bucket->level = std::max(
+      bucket->level, std::min(bucket->level + more + given, Room(bucket, now)));
 }
 
 void TokenShare::Refill(Bucket* bucket, Instant now) const {
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -45,8 +45,8 @@
   TokenShare(HostId self, Random* random, Counters* counters);
 
   // Adopts limits and seats. A seat that is new to this host starts with its
-  // part of the restart allowance only: its last holder may have spent its
-  // burst a moment ago.
+  // part of the restart allowance only, as far as the view says that it may be
+  // used: its last holder may have spent its burst a moment ago.
   void Update(const std::vector<RateLimit>& limits, const SeatView& seats,
               Instant now);
 
@@ -113,7 +113,8 @@
   };
 
   Bucket* Find(const WorkspaceId& workspace);
-  void SetSeats(Bucket* bucket, const SeatView& seats, Instant now);
+  void SetSeats(Bucket* bucket, const SeatView& seats,
+                double restart_share_before, Instant now);
   void Refill(Bucket* bucket, Instant now) const;
   static MicroTokens Reserved(Bucket* bucket, Instant now);
   static MicroTokens Room(Bucket* bucket, Instant now);
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -50,10 +50,14 @@
 std::size_t RelayCore::ShareAt(const Endpoint& endpoint) const {
   const auto group = m_directory->groups.find(endpoint.group);
   if (group == m_directory->groups.end()) return 0;
-  const std::size_t rank =
-      m_seats.held.empty() ? 0 : static_cast<std::size_t>(m_seats.held[0]);
-  return HostShare(group->second.max_connections, m_seats.zones.size(), rank,
-                   endpoint.id);
+  const auto counted = m_seats.Counted();
+  const auto own =
+      m_seats.held.empty()
+          ? counted.end()
+          : std::find(counted.begin(), counted.end(), m_seats.held[0]);
+  const auto rank = own == counted.end() ? 0 : own - counted.begin();
+  return HostShare(group->second.max_connections, counted.size(),
+                   static_cast<std::size_t>(rank), endpoint.id);
 }
 
 // A host may borrow what others do not use at the moment: the endpoint itself
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -28,9 +28,9 @@
 // Nothing more is sent to a primary that was silent for this long: a write
 // would be in doubt, while a request that waits can still run elsewhere.
 constexpr Milliseconds kHoldAfter{300};
-// Part of the tolerance that restarts may use; all hosts may restart twice
-// within one window.
-constexpr double kRestartShare = 0.45;
+// Part of the tolerance that a restart of all hosts may use; the rest is for
+// what arrives at endpoints later than it was admitted.
+constexpr double kRestartShare = 0.8;
 // Longer than a promotion takes, so that a lost primary is no reason to send
 // callers elsewhere.
 constexpr Milliseconds kUnreachableAfter{700};
--- a/Source/UnitTests/Limits/token_share_test.cc
+++ b/Source/UnitTests/Limits/token_share_test.cc
@@ -289,5 +289,25 @@
   EXPECT_LE(spent, kAllowance);
 }
 
+TEST(TokenShare, RestOfTheAllowanceIsGivenOnce) {
+  constexpr double kAllowance = 40;
+  ManualClock clock;
+  SeededRandom random(1);
+  Counters counters;
+  TokenShare share("h0", &random, &counters);
+  SeatView view;
+  view.holders = {"h0", "h1"};
+  view.zones = {"z", "z"};
+  view.held = {0};
+  view.valid_until = clock.Now() + std::chrono::hours(1);
+  int spent = 0;
+  for (const double part : {0.5, 1.0, 1.0}) {
+    view.restart_share = part;
+    share.Update({{"w", 10, 100, kAllowance}}, view, clock.Now());
+    while (share.TrySpend("w", clock.Now())) ++spent;
+    EXPECT_EQ(spent, static_cast<int>(part * kAllowance / 2));
+  }
+}
+
 }  // namespace
 }  // namespace tiller::limits
