Share connections between hosts where an endpoint accepts too few for each

Change: where there are fewer than two connections a host, one host in the endpoint's zone keeps those of a workspace (Relay/shared_pool), and the others reach it as if it were the endpoint (Relay/connection_path). A pool that does not answer is passed over and not blamed on the endpoint. Setup of connections and the measure of silence are shared with the relay.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -29,8 +29,9 @@
       m_counters(counters),
       m_operator(m_settings.operator_table, clock),
       m_endpoints(m_settings.endpoint_table, clock),
-      m_seats({m_settings.host, m_settings.address, m_settings.zone}, clock,
-              random),
+      m_seats({m_settings.host, m_settings.address, m_settings.pool_address,
+               m_settings.zone},
+              clock, random),
       m_builder(codec, clock),
       m_failover(m_settings.host, m_settings.zone, clock, counters) {}
 
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -15,7 +15,8 @@
 
 struct FleetSettings {
   std::string host;
-  std::string address;  // for other hosts
+  std::string address;       // for other hosts
+  std::string pool_address;  // of this host's shared pool
   ZoneId zone;
   // Tables written by the operator and by the endpoints.
   std::string operator_table;
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -48,6 +48,7 @@
   Json::Value out;
   out["host"] = seat.host;
   out["address"] = seat.address;
+  out["pool"] = seat.pool_address;
   out["zone"] = seat.zone;
   out["renewed"] = Json::Int64(seat.renewed.count());
   out["counts_from"] = Json::Int64(seat.counts_from.count());
@@ -66,6 +67,7 @@
   Seat row;
   row.host = m_self.host;
   row.address = m_self.address;
+  row.pool_address = m_self.pool_address;
   row.zone = m_self.zone;
   row.renewed = StoreNow();
   row.adopted = m_held ? m_adopted : row.renewed;
@@ -127,6 +129,7 @@
     if (json) {
       seat.host = StringOr(json.value(), "host");
       seat.address = StringOr(json.value(), "address");
+      seat.pool_address = StringOr(json.value(), "pool");
       seat.zone = StringOr(json.value(), "zone");
       const auto time = [&](const char* name) {
         return StoreTime(
@@ -230,6 +233,7 @@
   for (const auto& seat : m_seats) {
     view.holders.push_back(seat.host);
     view.zones.push_back(seat.zone);
+    view.pool_addresses.push_back(seat.pool_address);
   }
   m_counted = CountedSeats();
   view.counted = m_counted;
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -28,6 +28,7 @@
 struct SeatIdentity {
   std::string host;  // stable name of the machine
   std::string address;
+  std::string pool_address;
   ZoneId zone;
 };
 
@@ -59,6 +60,7 @@
   struct Seat {
     std::string host;
     std::string address;
+    std::string pool_address;
     ZoneId zone;
     StoreTime renewed{0};
     StoreTime counts_from{0};
--- a/Source/Limits/seat_view.h
+++ b/Source/Limits/seat_view.h
@@ -18,6 +18,8 @@
   // address requests, never to decide what this host may spend.
   std::vector<HostId> holders;
   std::vector<ZoneId> zones;
+  // Where the holders' shared pools listen; empty if not known.
+  std::vector<std::string> pool_addresses;
   // Seats that divide the limits now, all if empty. A seat that was just added
   // does not yet, and one whose holder is long gone does not any more.
   std::vector<int> counted;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -5,6 +5,8 @@
 #include "Common/log.h"
 #include "Common/names.h"
 #include "Relay/connection_budget.h"
+#include "Relay/connection_path.h"
+#include "Relay/connection_setup.h"
 #include "Relay/relay_core.h"
 
 namespace tiller::relay {
@@ -24,6 +26,16 @@
 // for some seconds more; what is kept free lets the host connect at once.
 constexpr double kIdleShare = 0.5;
 constexpr Milliseconds kIdleKept{200};
+// A connection through another host's pool costs descriptors only.
+constexpr Milliseconds kPooledIdleKept{2'000};
+// Bounds the descriptors that one endpoint may take.
+constexpr std::size_t kMaxPooled = 64;
+// Another host accepts within an exchange; it may be frozen or gone.
+constexpr Milliseconds kPoolOpenLimit{250};
+// A host that did not answer is tried again after a restart's time.
+constexpr Milliseconds kPoolPause{1'000};
+// The pool is asked again whether the primary answers.
+constexpr Milliseconds kHoldPause{100};
 
 }  // namespace
 
@@ -43,8 +55,27 @@
 
 std::size_t RelayCore::ConnectionsAt(const EndpointId& endpoint) const {
   return static_cast<std::size_t>(std::count_if(
-      m_connections.begin(), m_connections.end(),
-      [&](const auto& item) { return item.second.endpoint == endpoint; }));
+      m_connections.begin(), m_connections.end(), [&](const auto& item) {
+        return item.second.endpoint == endpoint && item.second.via.empty();
+      }));
+}
+
+bool RelayCore::Pooled(const GroupId& group) const {
+  const auto it = m_directory->groups.find(group);
+  return it != m_directory->groups.end() &&
+         UsesSharedPools(it->second.max_connections, m_seats);
+}
+
+void RelayCore::AvoidPool(const HostId& host, const std::string& reason) {
+  m_avoided_pools[host] = Now() + kPoolPause;
+  m_counters->Add("pools_avoided");
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo, "pool_avoided",
+             {{"host", host}, {"detail", reason}});
+}
+
+void RelayCore::HoldPrimary(const GroupId& group) {
+  m_groups[group].held_until = Now() + kHoldPause;
+  m_counters->Add("primary_held");
 }
 
 std::size_t RelayCore::ShareAt(const Endpoint& endpoint) const {
@@ -63,6 +94,14 @@
 // A host may borrow what others do not use at the moment: the endpoint itself
 // refuses a connection too many, and nothing has run then.
 bool RelayCore::CanOpen(const Endpoint& endpoint) const {
+  if (Pooled(endpoint.group)) {
+    const auto pooled = std::count_if(
+        m_connections.begin(), m_connections.end(), [&](const auto& item) {
+          return item.second.endpoint == endpoint.id &&
+                 !item.second.via.empty();
+        });
+    return static_cast<std::size_t>(pooled) < kMaxPooled;
+  }
   const auto held = ConnectionsAt(endpoint.id);
   const auto share = ShareAt(endpoint);
   const auto health = m_health.find(endpoint.id);
@@ -86,9 +125,14 @@
     return a->idle_since > b->idle_since;
   });
   for (const auto* connection : idle) {
+    if (!connection->via.empty()) {
+      if (Now() - connection->idle_since < kPooledIdleKept) continue;
+      surplus.push_back(connection->id);
+      continue;
+    }
     const auto* endpoint = FindEndpoint(connection->endpoint);
     const auto allowed =
-        endpoint == nullptr
+        endpoint == nullptr || Pooled(endpoint->group)
             ? 0
             : std::max<std::size_t>(
                   1, static_cast<std::size_t>(
@@ -114,8 +158,18 @@
   connection.step_sent = Now();
   connection.step_deadline = Now() + kOpenLimit;
   m_counters->Add("connections_opened");
-  m_actions.push_back(OpenConnection{id, endpoint.id, endpoint.address,
-                                     endpoint.group, workspace});
+  OpenConnection action{id, endpoint.id, endpoint.address, endpoint.group,
+                        workspace};
+  if (Pooled(endpoint.group)) {
+    const auto path =
+        ChoosePool(endpoint, workspace, m_seats, m_avoided_pools, Now());
+    if (path) {
+      connection.via = path->host;
+      connection.step_deadline = Now() + kPoolOpenLimit;
+      action.address = path->address;
+    }
+  }
+  m_actions.push_back(std::move(action));
   return &connection;
 }
 
@@ -157,6 +211,7 @@
   if (connection == nullptr) return;
   auto& health = HealthOf(connection->endpoint);
   const auto group = connection->group;
+  const auto via = connection->via;
   m_counters->Add("connections_refused_" +
                   std::string(NameOf(kRefusalNames, event.refusal)));
   log::Event(log::Channel::kEndpoint, log::Level::kInfo, "connection_refused",
@@ -164,7 +219,9 @@
               {"code", std::string(NameOf(kRefusalNames, event.refusal))},
               {"detail", event.detail},
               {"held", std::to_string(ConnectionsAt(connection->endpoint))}});
-  if (event.refusal == Refusal::kNone) {
+  if (!via.empty()) {
+    AvoidPool(via, event.detail);
+  } else if (event.refusal == Refusal::kNone) {
     health.Silent(Now());
   } else {
     health.Heard(Now());
@@ -191,10 +248,21 @@
              {{"endpoint", connection.endpoint},
               {"silent", silent ? "yes" : "no"},
               {"detail", reason}});
-  if (connection.state != ConnectionState::kIdle || silent) {
+  const bool in_use = connection.state != ConnectionState::kIdle || silent;
+  if (in_use && !connection.via.empty()) {
+    AvoidPool(connection.via, reason);
+  } else if (in_use) {
     HealthOf(connection.endpoint).Silent(Now());
   }
-  if (silent) {
+  if (silent && !connection.via.empty()) {
+    // The host may be frozen or cut off: its other connections are no better.
+    std::vector<ConnectionId> idle;
+    for (const auto& [other_id, other] : m_connections) {
+      if (other.via != connection.via) continue;
+      if (other.state == ConnectionState::kIdle) idle.push_back(other_id);
+    }
+    for (const auto other : idle) CloseAndForget(other);
+  } else if (silent) {
     // Whatever lost track of this connection may have lost the idle ones too.
     std::vector<ConnectionId> idle;
     for (const auto& [other_id, other] : m_connections) {
@@ -263,18 +331,10 @@
                            const StatementResult& result) {
   switch (connection->step) {
     case Step::kDiscard:
-      connection->options.clear();
-      connection->prepared.clear();
-      connection->dirty = false;
-      return connection->user == 0 ? Release(connection) : NextStep(connection);
     case Step::kSetOption:
-      connection->options[connection->sent.name] = connection->sent.argument;
-      connection->options_in_transaction |= connection->in_transaction;
-      return NextStep(connection);
     case Step::kPrepare:
-      connection->prepared.insert(connection->sent.name);
-      connection->options_in_transaction |= connection->in_transaction;
-      return NextStep(connection);
+      SetupDone(connection, connection->step);
+      return connection->user == 0 ? Release(connection) : NextStep(connection);
     case Step::kBegin:
       connection->in_transaction = true;
       if (connection->sent.verb == Verb::kBegin) {
@@ -324,6 +384,8 @@
     HealthOf(endpoint).Lagged(seen ? Now() - *seen : Duration{});
   } else if (result.refusal == Refusal::kBusy) {
     HealthOf(endpoint).Full(Now());
+  } else if (result.refusal == Refusal::kAborted && !connection->via.empty()) {
+    HoldPrimary(connection->group);
   } else {
     // Its state is not known any more.
     const auto user = connection->user;
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -6,18 +6,18 @@
 
 #include "Common/log.h"
 #include "Common/names.h"
+#include "Relay/endpoint_silence.h"
 
 namespace tiller::relay {
 namespace {
 
 // A primary that was not heard for this long is asked by a BEGIN.
 constexpr Milliseconds kProbeAfter{400};
+// Many hosts with little traffic each; pools notice silence sooner.
+constexpr Milliseconds kPooledProbeAfter{800};
 // Shortest silence worth telling the control part.
 constexpr Milliseconds kReportSilence{250};
 constexpr Milliseconds kReportEvery{100};
-// A primary that answers reads but no write for this long has lost its
-// replicas; several times the slowest statement.
-constexpr Milliseconds kWriteStall{600};
 // A leaving primary is used while its successor is promoted, but well below
 // the bound for new work at a leaving endpoint.
 constexpr Milliseconds kLeavingPrimaryLimit{4500};
@@ -106,7 +106,9 @@
 }
 
 bool RelayCore::PrimaryUsable(const GroupId& group) const {
-  return PrimaryOf(group) != nullptr && m_groups[group].silent_for < kHoldAfter;
+  const auto& state = m_groups[group];
+  return PrimaryOf(group) != nullptr && state.silent_for < kHoldAfter &&
+         state.held_until <= Now();
 }
 
 void RelayCore::On(const DirectoryChanged& event) {
@@ -301,9 +303,10 @@
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
     const auto newest = state.marks.Newest();
-    const bool fresh = newest && Now() - *newest < kProbeAfter;
+    const auto interval = Pooled(name) ? kPooledProbeAfter : kProbeAfter;
+    const bool fresh = newest && Now() - *newest < interval;
     if (fresh || Now() < state.probe_after) continue;
-    state.probe_after = Now() + kProbeAfter / 2;
+    state.probe_after = Now() + interval / 2;
     Connection* idle = nullptr;
     std::size_t held = 0;
     for (auto& [id, connection] : m_connections) {
@@ -347,33 +350,18 @@
 // How long the primary has answered nothing although something was asked, or
 // no write although reads are answered.
 Duration RelayCore::SilenceOf(const GroupId& name, const EndpointId& primary) {
-  const auto& state = m_groups[name];
-  Instant waiting_since = Instant::max();
-  Instant write_since = Instant::max();
-  for (const auto& [id, connection] : m_connections) {
-    if (connection.endpoint != primary) continue;
-    if (connection.state != ConnectionState::kBusy &&
-        connection.state != ConnectionState::kOpening) {
-      continue;
-    }
-    waiting_since = std::min(waiting_since, connection.step_sent);
-    const bool write = connection.sent.verb == Verb::kWrite ||
-                       connection.sent.verb == Verb::kCommit;
-    if (connection.step == Step::kUser && write) {
-      write_since = std::min(write_since, connection.step_sent);
-    }
-  }
-  const auto& health = HealthOf(primary);
-  Duration silent{};
-  if (health.Failures() > 0) {
-    silent = Now() - health.LastHeard();
-  } else if (waiting_since < Now()) {
-    silent = Now() - std::max(waiting_since, health.LastHeard());
+  const auto pool = m_pool_silence.find(primary);
+  return std::max(SilenceOn(m_connections, primary, HealthOf(primary),
+                            m_groups[name].last_write_answer, Now()),
+                  pool == m_pool_silence.end() ? Duration{} : pool->second);
+}
+
+void RelayCore::On(const EndpointSilence& event) {
+  if (event.silent_for == Duration{}) {
+    m_pool_silence.erase(event.endpoint);
+  } else {
+    m_pool_silence[event.endpoint] = event.silent_for;
   }
-  const bool stalled = write_since < Now() - kWriteStall &&
-                       state.last_write_answer < write_since;
-  if (stalled) silent = std::max<Duration>(silent, Now() - write_since);
-  return silent;
 }
 
 // A host that reaches few primaries serves little; the balancer should send
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -61,6 +61,7 @@
   void On(const SeatsChanged& event);
   void On(const ShareReceived& event);
   void On(const AdminRequest& event);
+  void On(const EndpointSilence& event);
   void On(const DrainStarted& event);
   void On(const TimerFired& event);
 
@@ -118,6 +119,12 @@
                              const WorkspaceId& workspace);
   std::size_t ShareAt(const Endpoint& endpoint) const;
   bool CanOpen(const Endpoint& endpoint) const;
+  // Connections of the group go through shared pools.
+  bool Pooled(const GroupId& group) const;
+  // Another host's pool does not answer, or leaves.
+  void AvoidPool(const HostId& host, const std::string& reason);
+  // A pool says that the group's primary is silent.
+  void HoldPrimary(const GroupId& group);
   void TrimIdle();
   std::size_t ConnectionsAt(const EndpointId& endpoint) const;
   Connection* Open(const Endpoint& endpoint, const WorkspaceId& workspace);
@@ -173,6 +180,10 @@
   std::map<ConnectionId, Connection> m_connections;
   std::map<EndpointId, EndpointHealth> m_health;
   std::map<EndpointId, Instant> m_leaving_since;
+  // Hosts whose pools are not used until then.
+  std::map<HostId, Instant> m_avoided_pools;
+  // As told by this host's own pool.
+  std::map<EndpointId, Duration> m_pool_silence;
   mutable std::map<GroupId, GroupState> m_groups;
   std::map<std::uint64_t, AdminJob> m_admin;
   ConnectionId m_next_connection = 1;
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -22,6 +22,16 @@
   SessionId session = 0;
   std::string request_id;
   Statement statement;
+  // Only from other hosts: the position that a read needs, and the term of an
+  // order to the endpoint.
+  std::optional<GroupPosition> after;
+  Term term = 0;
+};
+// Another host uses this one's connections to an endpoint.
+struct PoolSessionOpened {
+  SessionId session = 0;
+  EndpointId endpoint;
+  WorkspaceId workspace;
 };
 struct SessionClosed {
   SessionId session = 0;
@@ -61,6 +71,11 @@
   Verb verb = Verb::kStatus;
   Term term = 0;
 };
+// How long an endpoint has not answered the shared pool; zero when it does.
+struct EndpointSilence {
+  EndpointId endpoint;
+  Duration silent_for{};
+};
 struct DrainStarted {};
 struct TimerFired {};
 
@@ -68,7 +83,13 @@
     std::variant<SessionOpened, StatementReceived, SessionClosed,
                  ConnectionOpened, ConnectionRefused, ConnectionLost,
                  StatementDone, DirectoryChanged, SeatsChanged, ShareReceived,
-                 AdminRequest, DrainStarted, TimerFired>;
+                 AdminRequest, EndpointSilence, DrainStarted, TimerFired>;
+// What the shared pool takes.
+using PoolEvent =
+    std::variant<PoolSessionOpened, StatementReceived, SessionClosed,
+                 ConnectionOpened, ConnectionRefused, ConnectionLost,
+                 StatementDone, DirectoryChanged, SeatsChanged, DrainStarted,
+                 TimerFired>;
 
 // ---- actions
 struct AcceptSession {
@@ -134,5 +155,8 @@
 using Action = std::variant<AcceptSession, RejectSession, Reply, CloseSession,
                             OpenConnection, CloseConnection, SendStatement,
                             SendShare, AdminDone, PrimaryHealth, Reachability>;
+using PoolAction = std::variant<AcceptSession, RejectSession, Reply,
+                                CloseSession, OpenConnection, CloseConnection,
+                                SendStatement, EndpointSilence>;
 
 }  // namespace tiller::relay
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -103,6 +103,8 @@
   EndpointId endpoint;
   GroupId group;
   WorkspaceId workspace;
+  // The host whose shared pool it goes through; empty: direct.
+  HostId via;
   ConnectionState state = ConnectionState::kOpening;
   SessionId user = 0;  // 0: none
   std::uint64_t admin = 0;
@@ -127,6 +129,8 @@
   // An endpoint that refused to lead, until the directory names another.
   EndpointId deposed;
   Instant deposed_until{};
+  // A shared pool found the primary silent; nothing is sent to it until then.
+  Instant held_until{};
   Instant probe_after{};
   Instant last_write_answer{};
   Instant reported{};
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -4,6 +4,7 @@
 
 #include "Common/log.h"
 #include "Common/names.h"
+#include "Relay/connection_setup.h"
 #include "Relay/endpoint_choice.h"
 #include "Relay/relay_core.h"
 #include "Relay/wait_order.h"
@@ -162,31 +163,13 @@
   auto* session = FindSession(connection->user);
   if (session == nullptr || !session->request) return Release(connection);
   const auto& request = *session->request;
-  const bool extra_option =
-      std::any_of(connection->options.begin(), connection->options.end(),
-                  [&](const auto& option) {
-                    return session->options.count(option.first) == 0;
-                  });
-  if (connection->dirty || extra_option) {
-    return Send(connection, Step::kDiscard, {Verb::kDiscard, "", "", ""},
+  const auto* execute = request.statement.verb == Verb::kExecute
+                            ? &session->prepared.at(request.statement.name)
+                            : nullptr;
+  if (auto setup = NextSetupStep(*connection, session->options, execute)) {
+    return Send(connection, setup->step, std::move(setup->statement),
                 kOwnStepLimit);
   }
-  for (const auto& [name, value] : session->options) {
-    const auto it = connection->options.find(name);
-    if (it != connection->options.end() && it->second == value) continue;
-    return Send(connection, Step::kSetOption,
-                {Verb::kSetOption, "", name, value}, kOwnStepLimit);
-  }
-  if (request.statement.verb == Verb::kExecute) {
-    const auto& prepared = session->prepared.at(request.statement.name);
-    const auto form = BackendForm(*session, request.statement);
-    if (connection->prepared.count(form.name) == 0) {
-      return Send(connection, Step::kPrepare,
-                  {prepared.writes ? Verb::kPrepareWrite : Verb::kPrepareRead,
-                   "", form.name, prepared.shape},
-                  kOwnStepLimit);
-    }
-  }
   const bool strict_read = session->state == TxState::kIdle &&
                            !IsWrite(*session, request.statement) &&
                            NeedsPrimary(*session);
@@ -203,14 +186,11 @@
   SendUserStatement(connection, session);
 }
 
-// Names of prepared statements collide between sessions, so connections use a
-// name made from kind and shape, which all sessions can share.
 Statement RelayCore::BackendForm(const Session& session,
                                  const Statement& statement) const {
   if (statement.verb != Verb::kExecute) return statement;
   auto out = statement;
-  const auto& prepared = session.prepared.at(statement.name);
-  out.name = (prepared.writes ? "w_" : "r_") + prepared.shape;
+  out.name = SharedName(session.prepared.at(statement.name));
   return out;
 }
 
@@ -341,10 +321,16 @@
     case Refusal::kNoStatement:
       connection->dirty = true;
       break;
+    case Refusal::kAborted:
+      if (!connection->via.empty()) HoldPrimary(connection->group);
+      break;
     default:
       break;
   }
-  const bool not_run = result.refusal == Refusal::kBusy ||
+  // A pool refuses what it has not sent on.
+  const bool pool_refused =
+      !connection->via.empty() && result.refusal == Refusal::kAborted;
+  const bool not_run = pool_refused || result.refusal == Refusal::kBusy ||
                        result.refusal == Refusal::kReadOnly ||
                        result.refusal == Refusal::kLagging ||
                        result.refusal == Refusal::kNoStatement;
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -171,11 +171,11 @@
   if (TakeToken(session)) return OperationAdmitted(session);
   if (IsLate(*session)) {
     m_counters->Add("refused_late_over_rate");
-    return Refuse(session, Refusal::kBusy,
-                  "rate exceeded and too late, retry after " +
-                      std::to_string(
-                          m_tokens.RefillTime(session->workspace).count()) +
-                      " ms");
+    return Refuse(
+        session, Refusal::kBusy,
+        "rate exceeded and too late, retry after " +
+            std::to_string(m_tokens.RefillTime(session->workspace).count()) +
+            " ms");
   }
   request.phase = Phase::kToken;
   request.phase_until =
--- /dev/null
+++ b/Source/Relay/shared_pool.cc
@@ -0,0 +1,598 @@
+// Implementation of the shared pool.
+#include "Relay/shared_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Common/names.h"
+#include "Relay/connection_setup.h"
+#include "Relay/endpoint_silence.h"
+#include "Relay/wait_order.h"
+
+namespace tiller::relay {
+namespace {
+
+// A host gives up its own steps after 300 ms; a refusal must reach it before.
+constexpr Milliseconds kWaitLimit{150};
+constexpr Milliseconds kSetupLimit{300};
+// An endpoint answers a new connection after a handshake in one of its slots.
+constexpr Milliseconds kOpenLimit{700};
+// Hosts give up statements earlier and close their session.
+constexpr Milliseconds kStatementLimit{3'000};
+// A host that lost power leaves its transactions open; the endpoint would end
+// them after the operator's limit, this after the same limit and a margin.
+constexpr Milliseconds kIdleTransactionMargin{1'000};
+constexpr Milliseconds kIdleTransactionDefault{5'000};
+// Nothing is sent to an endpoint that was silent for this long: a write would
+// be in doubt, and a refused statement can still run elsewhere.
+constexpr Milliseconds kHoldAfter{300};
+constexpr Milliseconds kReportSilence{250};
+// Part of an endpoint's connections that one host may take, so that a
+// workspace that is served by another host finds room.
+constexpr double kMostPerHost = 0.5;
+// Idle connections beyond this part of the host's even share are closed after
+// kIdleKept.
+constexpr double kIdleShare = 0.5;
+constexpr Milliseconds kIdleKept{200};
+
+bool IsAdministrative(Verb verb) {
+  return verb == Verb::kStatus || verb == Verb::kPause ||
+         verb == Verb::kContinue || verb == Verb::kStepDown;
+}
+
+}  // namespace
+
+void SharedPool::Handle(const PoolEvent& event) {
+  std::visit([this](const auto& kind) { On(kind); }, event);
+}
+
+std::vector<PoolAction> SharedPool::TakeActions() {
+  return std::exchange(m_actions, {});
+}
+
+const Endpoint* SharedPool::FindEndpoint(const EndpointId& id) const {
+  if (!m_directory) return nullptr;
+  const auto it = m_directory->endpoints.find(id);
+  return it == m_directory->endpoints.end() ? nullptr : &it->second;
+}
+
+SharedPool::PoolSession* SharedPool::FindSession(SessionId id) {
+  const auto it = m_sessions.find(id);
+  return it == m_sessions.end() ? nullptr : &it->second;
+}
+
+Connection* SharedPool::FindConnection(ConnectionId id) {
+  const auto it = m_connections.find(id);
+  return it == m_connections.end() ? nullptr : &it->second;
+}
+
+// ---- sessions
+
+void SharedPool::On(const PoolSessionOpened& event) {
+  if (m_draining || FindEndpoint(event.endpoint) == nullptr) {
+    m_actions.push_back(RejectSession{
+        event.session, Refusal::kBusy,
+        m_draining ? "host is leaving" : "endpoint is not known"});
+    return;
+  }
+  auto& session = m_sessions[event.session];
+  session.id = event.session;
+  session.endpoint = event.endpoint;
+  session.workspace = event.workspace;
+  session.last_active = Now();
+  m_counters->Add("pool_sessions_opened");
+  m_actions.push_back(AcceptSession{event.session});
+}
+
+void SharedPool::On(const StatementReceived& event) {
+  auto* session = FindSession(event.session);
+  if (session == nullptr) return;
+  session->last_active = Now();
+  // Hosts have one statement outstanding at a time.
+  if (session->pending) return EndSession(session->id);
+  session->pending = event;
+  session->arrived = Now();
+  if (HandleLocal(session, event.statement)) return;
+  if (event.statement.verb == Verb::kInvalid) {
+    return Refuse(session, Refusal::kMalformed, "unknown statement");
+  }
+  if (event.statement.verb == Verb::kExecute &&
+      session->prepared.count(event.statement.name) == 0) {
+    return Refuse(session, Refusal::kNoStatement, "no such name");
+  }
+  if (session->connection != 0) {
+    return Advance(FindConnection(session->connection), session);
+  }
+  Place(session);
+}
+
+bool SharedPool::HandleLocal(PoolSession* session, const Statement& statement) {
+  switch (statement.verb) {
+    case Verb::kSetOption:
+      session->options[statement.name] = statement.argument;
+      break;
+    case Verb::kPrepareRead:
+    case Verb::kPrepareWrite:
+      session->prepared[statement.name] = {
+          statement.verb == Verb::kPrepareWrite, statement.argument};
+      break;
+    case Verb::kDeallocate:
+      session->prepared.erase(statement.name);
+      break;
+    case Verb::kDiscard:
+      session->options.clear();
+      session->prepared.clear();
+      break;
+    default:
+      return false;
+  }
+  StatementResult done;
+  done.text = "-";
+  done.state = session->state;
+  Answer(session, std::move(done));
+  return true;
+}
+
+void SharedPool::Answer(PoolSession* session, StatementResult result) {
+  session->pending.reset();
+  session->last_active = Now();
+  m_actions.push_back(Reply{session->id, std::move(result)});
+}
+
+void SharedPool::Refuse(PoolSession* session, Refusal refusal,
+                        const std::string& reason) {
+  m_counters->Add("pool_refused_" +
+                  std::string(NameOf(kRefusalNames, refusal)));
+  log::Event(log::Channel::kTraffic, log::Level::kInfo, "pool_refused",
+             {{"request", session->pending->request_id},
+              {"workspace", session->workspace},
+              {"endpoint", session->endpoint},
+              {"code", std::string(NameOf(kRefusalNames, refusal))},
+              {"reason", reason},
+              {"age_ms", log::MillisecondsText(Now() - session->arrived)}});
+  StatementResult result;
+  result.refusal = refusal;
+  result.text = reason;
+  result.state = session->state;
+  Answer(session, std::move(result));
+}
+
+// The host learns from the end of its connection that an answer is in doubt.
+void SharedPool::EndSession(SessionId id) {
+  m_actions.push_back(CloseSession{id});
+  On(SessionClosed{id});
+}
+
+void SharedPool::On(const SessionClosed& event) {
+  auto* session = FindSession(event.session);
+  if (session == nullptr) return;
+  auto* connection = FindConnection(session->connection);
+  m_sessions.erase(event.session);
+  if (connection == nullptr) return;
+  connection->user = 0;
+  // A statement in progress is left to finish; nothing is committed after it.
+  if (connection->state == ConnectionState::kPinned) Release(connection);
+}
+
+// ---- placement
+
+Connection* SharedPool::IdleConnection(const PoolSession& session) {
+  Connection* best = nullptr;
+  for (auto& [id, connection] : m_connections) {
+    if (connection.state != ConnectionState::kIdle) continue;
+    if (connection.endpoint != session.endpoint) continue;
+    if (connection.workspace != session.workspace) continue;
+    if (best == nullptr || connection.idle_since > best->idle_since) {
+      best = &connection;
+    }
+  }
+  return best;
+}
+
+void SharedPool::Place(PoolSession* session) {
+  const auto* endpoint = FindEndpoint(session->endpoint);
+  if (endpoint == nullptr) {
+    return Refuse(session, Refusal::kMisrouted, "endpoint is gone");
+  }
+  const auto verb = session->pending->statement.verb;
+  if (!IsAdministrative(verb) && SilenceOf(endpoint->id) > kHoldAfter) {
+    return Refuse(session, Refusal::kAborted, "endpoint is silent");
+  }
+  auto* connection = IdleConnection(*session);
+  if (connection == nullptr) {
+    OpenFor(*session, *endpoint);
+    return;
+  }
+  connection->state = ConnectionState::kBusy;
+  connection->user = session->id;
+  session->connection = connection->id;
+  Advance(connection, session);
+}
+
+std::size_t SharedPool::Allowed(const Endpoint& endpoint) const {
+  const auto group = m_directory->groups.find(endpoint.group);
+  if (group == m_directory->groups.end()) return 0;
+  const auto most = static_cast<std::size_t>(
+      static_cast<double>(group->second.max_connections) * kMostPerHost);
+  return std::max<std::size_t>(most, 1);
+}
+
+// Opens a connection unless as many are being opened as sessions wait.
+bool SharedPool::OpenFor(const PoolSession& session, const Endpoint& endpoint) {
+  std::size_t held = 0;
+  std::size_t opening = 0;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != endpoint.id) continue;
+    ++held;
+    opening += connection.state == ConnectionState::kOpening &&
+                       connection.workspace == session.workspace
+                   ? 1
+                   : 0;
+  }
+  const auto waiting = static_cast<std::size_t>(std::count_if(
+      m_sessions.begin(), m_sessions.end(), [&](const auto& item) {
+        const auto& other = item.second;
+        return other.pending && other.connection == 0 &&
+               other.endpoint == endpoint.id &&
+               other.workspace == session.workspace;
+      }));
+  auto& health = m_health[endpoint.id];
+  if (opening >= waiting || health.RefusedJustNow(Now())) return false;
+  if (held >= Allowed(endpoint) && !EvictIdle(endpoint.id)) return false;
+  const auto id = m_next_connection++;
+  auto& connection = m_connections[id];
+  connection.id = id;
+  connection.endpoint = endpoint.id;
+  connection.group = endpoint.group;
+  connection.workspace = session.workspace;
+  connection.step_sent = Now();
+  connection.step_deadline = Now() + kOpenLimit;
+  m_counters->Add("pool_connections_opened");
+  m_actions.push_back(OpenConnection{id, endpoint.id, endpoint.address,
+                                     endpoint.group, session.workspace});
+  return true;
+}
+
+// Closes the connection that has been idle longest, for another workspace.
+bool SharedPool::EvictIdle(const EndpointId& endpoint) {
+  const Connection* oldest = nullptr;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != endpoint) continue;
+    if (connection.state != ConnectionState::kIdle) continue;
+    if (oldest == nullptr || connection.idle_since < oldest->idle_since) {
+      oldest = &connection;
+    }
+  }
+  if (oldest == nullptr) return false;
+  m_counters->Add("pool_connections_evicted");
+  CloseConnectionOf(oldest->id);
+  return true;
+}
+
+void SharedPool::Pump(const EndpointId& endpoint) {
+  std::vector<Waiter> waiters;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.pending || session.connection != 0) continue;
+    if (session.endpoint != endpoint) continue;
+    waiters.push_back({id, session.workspace, 0, session.arrived, false});
+  }
+  if (waiters.empty()) return;
+  std::map<WorkspaceId, std::size_t> in_service;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != endpoint) continue;
+    if (connection.state == ConnectionState::kIdle) continue;
+    ++in_service[connection.workspace];
+  }
+  for (const auto id : PlacementOrder(std::move(waiters), in_service)) {
+    auto* session = FindSession(id);
+    if (session == nullptr || !session->pending || session->connection != 0) {
+      continue;
+    }
+    Place(session);
+  }
+}
+
+// ---- connections
+
+void SharedPool::Advance(Connection* connection, PoolSession* session) {
+  const auto& event = *session->pending;
+  const auto verb = event.statement.verb;
+  connection->state = ConnectionState::kBusy;
+  const auto* execute = verb == Verb::kExecute
+                            ? &session->prepared.at(event.statement.name)
+                            : nullptr;
+  if (!IsAdministrative(verb)) {
+    if (auto setup = NextSetupStep(*connection, session->options, execute)) {
+      SendStatement action;
+      action.statement = std::move(setup->statement);
+      return Send(connection, setup->step, std::move(action), kSetupLimit);
+    }
+  }
+  SendStatement action;
+  action.id = event.request_id;
+  action.statement = event.statement;
+  if (execute != nullptr) action.statement.name = SharedName(*execute);
+  action.after = event.after;
+  action.term = event.term;
+  Send(connection, Step::kUser, std::move(action), kStatementLimit);
+}
+
+void SharedPool::Send(Connection* connection, Step step, SendStatement action,
+                      Duration limit) {
+  connection->step = step;
+  connection->sent = action.statement;
+  connection->step_sent = Now();
+  connection->step_deadline = Now() + limit;
+  action.connection = connection->id;
+  m_actions.push_back(std::move(action));
+}
+
+void SharedPool::On(const ConnectionOpened& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  m_health[connection->endpoint].Heard(Now());
+  Release(connection);
+}
+
+void SharedPool::On(const ConnectionRefused& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  const auto endpoint = connection->endpoint;
+  m_connections.erase(event.connection);
+  m_counters->Add("pool_connections_refused_" +
+                  std::string(NameOf(kRefusalNames, event.refusal)));
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo,
+             "pool_connection_refused",
+             {{"endpoint", endpoint},
+              {"code", std::string(NameOf(kRefusalNames, event.refusal))},
+              {"detail", event.detail}});
+  auto& health = m_health[endpoint];
+  if (event.refusal == Refusal::kNone) {
+    health.Silent(Now());
+  } else {
+    health.Heard(Now());
+    health.ConnectionLimitReached(Now());
+  }
+  Pump(endpoint);
+}
+
+void SharedPool::On(const ConnectionLost& event) {
+  LoseConnection(event.connection, false, event.detail);
+}
+
+void SharedPool::LoseConnection(ConnectionId id, bool silent,
+                                const std::string& reason) {
+  auto* found = FindConnection(id);
+  if (found == nullptr) return;
+  const Connection connection = *found;
+  m_connections.erase(id);
+  if (silent) m_actions.push_back(CloseConnection{id});
+  m_counters->Add(silent ? "pool_connections_silent" : "pool_connections_lost");
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo, "pool_connection_lost",
+             {{"endpoint", connection.endpoint},
+              {"silent", silent ? "yes" : "no"},
+              {"detail", reason}});
+  if (connection.state != ConnectionState::kIdle || silent) {
+    m_health[connection.endpoint].Silent(Now());
+  }
+  if (connection.user != 0) EndSession(connection.user);
+  Pump(connection.endpoint);
+}
+
+void SharedPool::CloseConnectionOf(ConnectionId id) {
+  m_connections.erase(id);
+  m_actions.push_back(CloseConnection{id});
+}
+
+void SharedPool::On(const StatementDone& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  m_health[connection->endpoint].Heard(Now());
+  switch (connection->step) {
+    case Step::kUser:
+      return OnUserResult(connection, event.result);
+    case Step::kRollback:
+      connection->in_transaction = false;
+      connection->dirty |=
+          std::exchange(connection->options_in_transaction, false);
+      return Release(connection);
+    default:
+      break;
+  }
+  auto* session = FindSession(connection->user);
+  if (!event.result.Ok()) {
+    // Its state is not known any more.
+    const auto endpoint = connection->endpoint;
+    CloseConnectionOf(event.connection);
+    if (session != nullptr) EndSession(session->id);
+    return Pump(endpoint);
+  }
+  SetupDone(connection, connection->step);
+  if (session == nullptr || !session->pending) return Release(connection);
+  Advance(connection, session);
+}
+
+void SharedPool::OnUserResult(Connection* connection,
+                              const StatementResult& result) {
+  const auto verb = connection->sent.verb;
+  if (verb == Verb::kWrite || verb == Verb::kCommit) {
+    m_last_write_answer[connection->endpoint] = Now();
+  }
+  connection->in_transaction = result.state != TxState::kIdle;
+  if (!connection->in_transaction) {
+    // Whether options set inside outlive a transaction depends on its end.
+    connection->dirty |=
+        std::exchange(connection->options_in_transaction, false);
+  }
+  if (result.refusal == Refusal::kNoStatement) connection->dirty = true;
+  auto* session = FindSession(connection->user);
+  if (session == nullptr) return Release(connection);
+  session->state = result.state;
+  const auto id = session->id;
+  Answer(session, result);
+  if (connection->in_transaction) {
+    connection->state = ConnectionState::kPinned;
+    connection->step = Step::kNone;
+    return;
+  }
+  Release(connection);
+  if (m_draining) EndSession(id);
+}
+
+// Makes a connection idle; one with an open transaction is rolled back first.
+void SharedPool::Release(Connection* connection) {
+  if (auto* session = FindSession(connection->user)) session->connection = 0;
+  connection->user = 0;
+  if (connection->in_transaction && connection->step != Step::kRollback) {
+    connection->state = ConnectionState::kBusy;
+    SendStatement action;
+    action.statement.verb = Verb::kRollback;
+    return Send(connection, Step::kRollback, std::move(action), kSetupLimit);
+  }
+  connection->step = Step::kNone;
+  connection->state = ConnectionState::kIdle;
+  connection->idle_since = Now();
+  const auto endpoint = connection->endpoint;
+  const auto* listed = FindEndpoint(endpoint);
+  if (listed == nullptr || (listed->leaving && !listed->primary)) {
+    CloseConnectionOf(connection->id);
+  }
+  Pump(endpoint);
+}
+
+// ---- upkeep
+
+void SharedPool::On(const DirectoryChanged& event) {
+  const auto old = std::exchange(m_directory, event.directory);
+  std::vector<ConnectionId> unused;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.state != ConnectionState::kIdle) continue;
+    const auto* endpoint = FindEndpoint(connection.endpoint);
+    bool gone = endpoint == nullptr;
+    if (!gone && old != nullptr) {
+      const auto before = old->endpoints.find(connection.endpoint);
+      gone = before != old->endpoints.end() &&
+             before->second.born != endpoint->born;
+    }
+    if (gone) unused.push_back(id);
+  }
+  for (const auto id : unused) CloseConnectionOf(id);
+  std::erase_if(m_health, [&](const auto& item) {
+    return FindEndpoint(item.first) == nullptr;
+  });
+}
+
+void SharedPool::On(const SeatsChanged& event) { m_seats = event.seats; }
+
+void SharedPool::On(const DrainStarted&) {
+  m_draining = true;
+  std::vector<SessionId> idle;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.pending && session.connection == 0) idle.push_back(id);
+  }
+  for (const auto id : idle) EndSession(id);
+}
+
+void SharedPool::On(const TimerFired&) {
+  ExpireSteps();
+  if (!m_directory) return;
+  ExpireSessions();
+  TrimIdle();
+  ReportSilence();
+  for (const auto& [id, endpoint] : m_directory->endpoints) Pump(id);
+}
+
+void SharedPool::ExpireSteps() {
+  std::vector<ConnectionId> overdue;
+  for (const auto& [id, connection] : m_connections) {
+    const bool working = connection.state == ConnectionState::kBusy ||
+                         connection.state == ConnectionState::kOpening;
+    if (working && connection.step_deadline <= Now()) overdue.push_back(id);
+  }
+  for (const auto id : overdue) LoseConnection(id, true, "no answer in time");
+}
+
+void SharedPool::ExpireSessions() {
+  const auto operators = m_directory->transaction_idle;
+  const auto limit = operators.count() == 0
+                         ? kIdleTransactionDefault
+                         : operators + kIdleTransactionMargin;
+  std::vector<SessionId> waited;
+  std::vector<SessionId> abandoned;
+  for (const auto& [id, session] : m_sessions) {
+    if (session.pending && session.connection == 0 &&
+        Now() - session.arrived > kWaitLimit) {
+      waited.push_back(id);
+    }
+    if (!session.pending && session.connection != 0 &&
+        Now() - session.last_active > limit) {
+      abandoned.push_back(id);
+    }
+  }
+  for (const auto id : waited) {
+    Refuse(FindSession(id), Refusal::kBusy, "no connection");
+  }
+  for (const auto id : abandoned) {
+    m_counters->Add("pool_transactions_abandoned");
+    EndSession(id);
+  }
+}
+
+void SharedPool::TrimIdle() {
+  std::map<ZoneId, std::size_t> hosts;
+  for (const int seat : m_seats.Counted()) {
+    ++hosts[m_seats.zones[static_cast<std::size_t>(seat)]];
+  }
+  std::vector<const Connection*> idle;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.state == ConnectionState::kIdle) idle.push_back(&connection);
+  }
+  std::sort(idle.begin(), idle.end(), [](const auto* a, const auto* b) {
+    return a->idle_since > b->idle_since;
+  });
+  std::map<EndpointId, std::size_t> kept;
+  std::vector<ConnectionId> surplus;
+  for (const auto* connection : idle) {
+    const auto* endpoint = FindEndpoint(connection->endpoint);
+    std::size_t allowed = 1;
+    if (endpoint != nullptr && hosts.count(endpoint->zone) > 0) {
+      const auto& group = m_directory->groups.find(endpoint->group);
+      const double limit =
+          group == m_directory->groups.end()
+              ? 0
+              : static_cast<double>(group->second.max_connections);
+      allowed = std::max<std::size_t>(
+          1, static_cast<std::size_t>(
+                 limit * kIdleShare /
+                 static_cast<double>(hosts.at(endpoint->zone))));
+    }
+    if (++kept[connection->endpoint] <= allowed) continue;
+    if (Now() - connection->idle_since < kIdleKept) continue;
+    surplus.push_back(connection->id);
+  }
+  for (const auto id : surplus) CloseConnectionOf(id);
+}
+
+Duration SharedPool::SilenceOf(const EndpointId& endpoint) const {
+  const auto health = m_health.find(endpoint);
+  const auto write = m_last_write_answer.find(endpoint);
+  return SilenceOn(
+      m_connections, endpoint,
+      health == m_health.end() ? EndpointHealth() : health->second,
+      write == m_last_write_answer.end() ? Instant{} : write->second, Now());
+}
+
+// Silence repeats each tick while it lasts; its end is told once.
+void SharedPool::ReportSilence() {
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    const auto silent = SilenceOf(id);
+    const bool is_silent = silent > kReportSilence;
+    auto& reported = m_reported[id];
+    if (!is_silent && !reported) continue;
+    reported = is_silent;
+    m_actions.push_back(EndpointSilence{id, is_silent ? silent : Duration{}});
+  }
+}
+
+}  // namespace tiller::relay
--- a/Source/UnitTests/Support/fleet_world.cc
+++ b/Source/UnitTests/Support/fleet_world.cc
@@ -71,7 +71,8 @@
 void FleetWorld::Start(int host) {
   auto& row = *m_hosts[static_cast<std::size_t>(host)];
   row.core = std::make_unique<FleetCore>(
-      FleetSettings{row.name, row.name + ":9", "z", "config", "endpoints"},
+      FleetSettings{row.name, row.name + ":9", row.name + ":8", "z", "config",
+                    "endpoints"},
       &m_codec, &clock, &random, &row.counters);
   row.directory.reset();
 }
