Close connections whose rollback was refused

A pool that has no connection refuses the ROLLBACK of a transaction that the endpoint had ended; the connection then went idle still marked as in a transaction, and its next user sent no BEGIN. Change: such a connection is closed, in the relay and in the pool; a pool answers a ROLLBACK without an open transaction itself. Tests: one for each, both failed before.

--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -372,6 +372,12 @@
   const auto endpoint = connection->endpoint;
   m_counters->Add("step_refused_" +
                   std::string(NameOf(kRefusalNames, result.refusal)));
+  if (step == Step::kRollback) {
+    // The transaction may still be open.
+    const auto group = connection->group;
+    CloseAndForget(connection->id);
+    return PumpWaiters(group);
+  }
   if (step == Step::kBegin && result.refusal == Refusal::kReadOnly) {
     NoteDeposed(*connection);
   } else if (step == Step::kBegin && result.refusal == Refusal::kLagging) {
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -124,6 +124,10 @@
       session->options.clear();
       session->prepared.clear();
       break;
+    case Verb::kRollback:
+      // Without a connection no transaction is open.
+      if (session->connection != 0) return false;
+      break;
     default:
       return false;
   }
@@ -393,6 +397,12 @@
     case Step::kUser:
       return OnUserResult(connection, event.result);
     case Step::kRollback:
+      if (!event.result.Ok()) {
+        // The transaction may still be open.
+        const auto endpoint = connection->endpoint;
+        CloseConnectionOf(event.connection);
+        return Pump(endpoint);
+      }
       connection->in_transaction = false;
       connection->dirty |=
           std::exchange(connection->options_in_transaction, false);
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -49,6 +49,23 @@
   EXPECT_TRUE(bench.Statements().empty());
 }
 
+// Found as PINNED on a variant of lfsc-quotes with 40 workspaces (scale-2):
+// the next user of the connection was taken to be inside a transaction.
+TEST(Connections, OneWhoseRollbackWasRefusedIsNotUsedAgain) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Say(session, Verb::kRead, "READ a");
+  bench.Succeed();  // BEGIN
+  const auto used = bench.Statements()[0].statement.connection;
+  bench.Succeed("receipt");
+  ASSERT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kRollback);
+  bench.Refuse(Refusal::kBusy);
+  bench.Say(session, Verb::kRead, "READ b");
+  ASSERT_FALSE(bench.Statements().empty());
+  EXPECT_NE(bench.Statements()[0].statement.connection, used);
+  EXPECT_EQ(bench.Statements()[0].statement.statement.verb, Verb::kBegin);
+}
+
 TEST(Reads, StrictReadRunsInsideAPlainTransaction) {
   RelayBench bench;
   const auto session = bench.Open("strict");
--- a/Source/UnitTests/Relay/shared_pool_test.cc
+++ b/Source/UnitTests/Relay/shared_pool_test.cc
@@ -152,6 +152,24 @@
   EXPECT_EQ(bench.statements[0].statement.verb, Verb::kRollback);
 }
 
+TEST(SharedPool, ConnectionWhoseRollbackWasRefusedIsNotUsedAgain) {
+  PoolBench bench;
+  const auto first = bench.Open("w1");
+  bench.Say(first, Verb::kBegin, "BEGIN");
+  const auto used = bench.statements[0].connection;
+  bench.Succeed(TxState::kOpen);
+  bench.Handle(SessionClosed{first});
+  StatementResult refused;
+  refused.refusal = Refusal::kBusy;
+  refused.state = TxState::kOpen;
+  bench.statements.clear();
+  bench.Handle(StatementDone{used, refused});
+  const auto second = bench.Open("w1");
+  bench.Say(second, Verb::kRead, "READ a");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_NE(bench.statements[0].connection, used);
+}
+
 // A host without power says nothing more, not even the end of its connections.
 TEST(SharedPool, TransactionOfASilentHostIsEnded) {
   PoolBench bench;
