Keep tokens that were earned before a limit was lowered for a while

Change: those tokens may be spent for 2.5 s, the time in which a change comes into force, and not later. Tests: one of both sides of that time.

--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -21,6 +21,9 @@
 // A host without a spend for this long lends all it has.
 constexpr Milliseconds kIdleAfter{200};
 constexpr std::size_t kMaxSettledListed = 32;
+// Tokens that were earned under a higher limit may be spent for this long after
+// it was lowered; a change has that long to be in force on all hosts.
+constexpr Milliseconds kLoweredGrace{2'500};
 
 Duration WithDrift(Duration duration) {
   return std::chrono::duration_cast<Duration>(duration *
@@ -47,8 +50,15 @@
   for (const auto& limit : limits) {
     present.insert(limit.workspace);
     auto& bucket = m_buckets[limit.workspace];
+    const bool lowered = limit.burst < bucket.limit.burst;
+    const auto held_before = bucket.held;
+    const auto level_before = bucket.level;
     bucket.limit = limit;
     SetSeats(&bucket, seats, restart_share_before, now);
+    if (lowered && bucket.held == held_before && bucket.level < level_before) {
+      bucket.loans.push_back(
+          {level_before - bucket.level, now + kLoweredGrace});
+    }
   }
   std::erase_if(m_buckets, [&](const auto& item) {
     return present.count(item.first) == 0;
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -83,7 +83,8 @@
     HostId host;
     Instant sent;
   };
-  // Borrowed tokens that the lender still has reserved.
+  // Tokens beyond the bucket's capacity: borrowed ones that the lender still
+  // has reserved, or earned before the limit was lowered.
   struct Loan {
     MicroTokens amount = 0;
     Instant until;
--- a/Source/UnitTests/Limits/token_share_test.cc
+++ b/Source/UnitTests/Limits/token_share_test.cc
@@ -289,6 +289,32 @@
   EXPECT_LE(spent, kAllowance);
 }
 
+// Load pattern: a limit is lowered below what the workspace sends. What it
+// earned before is not taken away at once, and not kept for later bursts.
+TEST(TokenShare, TokensEarnedBeforeALimitWasLoweredLastForAWhile) {
+  ManualClock clock;
+  SeededRandom random(1);
+  Counters counters;
+  TokenShare share("h0", &random, &counters);
+  SeatView view;
+  view.holders = {"h0"};
+  view.zones = {"z"};
+  view.held = {0};
+  view.valid_until = clock.Now() + std::chrono::hours(1);
+  const auto spend_all = [&] {
+    int spent = 0;
+    while (share.TrySpend("w", clock.Now())) ++spent;
+    return spent;
+  };
+  for (const bool soon : {true, false}) {
+    share.Update({{"w", 50, 50}}, view, clock.Now());
+    clock.Advance(std::chrono::seconds(5));
+    share.Update({{"w", 10, 10}}, view, clock.Now());
+    clock.Advance(soon ? Milliseconds(10) : Milliseconds(2'600));
+    EXPECT_EQ(spend_all(), soon ? 50 : 10);
+  }
+}
+
 TEST(TokenShare, RestOfTheAllowanceIsGivenOnce) {
   constexpr double kAllowance = 40;
   ManualClock clock;
