Wait for replicas that vanished together with their primary

A partition of that zone let that replica acknowledge; the rows of both lapsed, and of the two listed replicas, neither of which had the commits, one was promoted. Change: a replica whose row vanished without leaving, while the primary is not well, is waited for up to 10 s before others are compared, unless the primary stepped down and told its position. Then it counts as gone, as the platform says. Tests: ReplicaThatVanishedWithThePrimaryIsWaitedFor failed before (a promotion, a breach). NothingIsPromotedWhileAListedReplicaIsSilent now asks for no promotion in the 6 s after the row lapsed and for one after 14 s: the replica there is not known to be dead, which is the case of the finding.

--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -32,6 +32,12 @@
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetry{600};
 constexpr Milliseconds kPromoteGiveUp{12'000};
+// A replica whose row vanished may be alive behind a partition and hold commits
+// that nobody else has; longer than partitions usually last. Then it counts as
+// gone, as the platform says of missing rows.
+constexpr Milliseconds kVanishedFor{10'000};
+// A primary that is well has sent its log to the other replicas by then.
+constexpr Milliseconds kCaughtUpAfter{2'000};
 constexpr char kLeaving[] = "leaving";
 constexpr char kNoPrimary[] = "no_primary";
 constexpr char kSilent[] = "silent";
@@ -39,7 +45,8 @@
 }  // namespace
 
 void PrimaryFailover::SetDirectory(relay::DirectoryPtr directory) {
-  m_directory = std::move(directory);
+  const auto old = std::exchange(m_directory, std::move(directory));
+  NoteVanished(old);
   // A group that the operator removed has nothing left to change.
   std::erase_if(m_jobs, [&](const auto& item) {
     return m_directory->groups.count(item.first) == 0;
@@ -47,6 +54,32 @@
   for (auto& [group, job] : m_jobs) PauseNewcomers(group, &job);
 }
 
+// Rows of replicas that were not leaving and are not there any more.
+void PrimaryFailover::NoteVanished(const relay::DirectoryPtr& old) {
+  if (old != nullptr) {
+    for (const auto& [id, endpoint] : old->endpoints) {
+      if (endpoint.primary || endpoint.leaving) continue;
+      if (m_directory->endpoints.count(id) > 0) continue;
+      m_vanished[endpoint.group][id] = m_clock->Now();
+    }
+  }
+  for (auto& [group, vanished] : m_vanished) {
+    std::erase_if(vanished, [&](const auto& item) {
+      return m_directory->endpoints.count(item.first) > 0;
+    });
+  }
+}
+
+// A replica is missing that may have acknowledged commits which no other
+// replica has: it vanished while the primary was not well any more.
+bool PrimaryFailover::MissesReplica(const GroupId& group) {
+  auto& vanished = m_vanished[group];
+  std::erase_if(vanished, [&](const auto& item) {
+    return m_clock->Now() - item.second > kVanishedFor;
+  });
+  return !vanished.empty();
+}
+
 // A replica that appears meanwhile must not acknowledge for the old primary.
 void PrimaryFailover::PauseNewcomers(const GroupId& group, Job* job) {
   const bool choosing =
@@ -134,6 +167,9 @@
   const auto trigger = Trigger(group, *job);
   if (trigger.empty()) {
     job->suspected_since = {};
+    std::erase_if(m_vanished[group], [&](const auto& item) {
+      return now - item.second > kCaughtUpAfter;
+    });
     if (!job->check_claim_at || now < *job->check_claim_at || m_reading) return;
     job->check_claim_at.reset();
     job->reason = kUnfinished;
@@ -214,6 +250,7 @@
   }
   job->unanswered.erase(event.endpoint);
   if (!job->unanswered.empty()) return;
+  job->stepped_down_at.reset();
   return job->old_primary.empty() ? StartPause(group, job)
                                   : StartStepDown(group, job);
 }
@@ -242,6 +279,10 @@
 }
 
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
+  // A primary that stepped down told how far its log goes.
+  if (!job->stepped_down_at && MissesReplica(group)) {
+    return GiveUp(group, job, "a replica that may hold commits is missing");
+  }
   if (job->reason != kLeaving) job->stepped_down_at.reset();
   job->stage = Stage::kPausing;
   job->stage_until = m_clock->Now() + kPauseTimeout;
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -147,6 +147,8 @@
   void OnRenewed(const GroupId& group, Job* job, const RowWritten& event);
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewcomers(const GroupId& group, Job* job);
+  void NoteVanished(const relay::DirectoryPtr& old);
+  bool MissesReplica(const GroupId& group);
   void StartProbe(const GroupId& group, Job* job);
   void OnProbed(const GroupId& group, Job* job, const relay::AdminDone& event);
   void StartStepDown(const GroupId& group, Job* job);
@@ -167,6 +169,8 @@
   Counters* const m_counters;
   relay::DirectoryPtr m_directory;
   std::map<GroupId, Job> m_jobs;
+  // Replicas whose rows vanished, and when; see MissesReplica.
+  std::map<GroupId, std::map<EndpointId, Instant>> m_vanished;
   // Outstanding administrative statements.
   struct Order {
     GroupId group;
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -68,6 +68,29 @@
   EXPECT_TRUE(world.breaches.empty());
 }
 
+// LOST, saviya-prod zone-cut-and-primaries-replaced --vary --seed
+// 1040164742046: a partition held the primary and the replica that acknowledged
+// for it; their rows lapsed, and a replica without the commits was promoted.
+TEST(Failover, ReplicaThatVanishedWithThePrimaryIsWaitedFor) {
+  FleetWorld world(5, 3, 21);
+  world.Run(seconds(8));
+  world.Endpoints()["e2"].deaf = true;
+  world.Run(seconds(2));
+  for (const auto* id : {"e0", "e1"}) {
+    world.Endpoints()[id].alive = false;
+    world.Endpoints()[id].listed = false;
+    world.WriteEndpointRow(id);
+  }
+  world.Run(seconds(6));
+  EXPECT_EQ(world.promotions, 0);
+  world.Endpoints()["e1"].alive = true;
+  world.Endpoints()["e1"].listed = true;
+  world.WriteEndpointRow("e1");
+  world.Run(seconds(4));
+  EXPECT_EQ(world.Leader(), "e1");
+  EXPECT_TRUE(world.breaches.empty());
+}
+
 TEST(Failover, NothingIsPromotedWhileAListedReplicaIsSilent) {
   FleetWorld world(5, 3, 5);
   world.Run(seconds(8));
@@ -77,6 +100,8 @@
   EXPECT_EQ(world.promotions, 0);
   world.WriteEndpointRow("e1");  // its row lapses
   world.Run(seconds(6));
+  EXPECT_EQ(world.promotions, 0);  // it may be alive behind a partition
+  world.Run(seconds(8));
   EXPECT_EQ(world.Leader(), "e2");
 }
 
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -64,7 +64,9 @@
                      const std::string& name, const std::string& argument) {
   Handle(StatementReceived{session,
                            "q" + std::to_string(m_next_request++),
-                           {verb, text, name, argument}});
+                           {verb, text, name, argument},
+                           {},
+                           0});
 }
 
 void RelayBench::Tick(Milliseconds by) {
