Read the store on a few hosts of each zone; other hosts get changes from them

Cause: every host followed two tables, read all seats every 5 s and renewed its own every 10 s, and all hosts that started together tried to take the same seats. Change: ChooseReaders picks one reader for 16 hosts of a zone; other hosts query two readers, one of another zone, and check the store themselves without a confirmation. Copies carry only changed rows. A new host chooses among 16 free seats at a random moment. Renewals every 20 s under a lease of 68 s. Home seats are ranked only when the counted seats change. Fleets of up to 12 hosts read as before. One test counted seats by the length of the seat list, which now has gaps; it counts holders and counted seats instead.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -30,13 +30,17 @@
       m_clock(clock),
       m_random(random),
       m_counters(counters),
-      m_operator_table(m_settings.operator_table, clock),
-      m_endpoint_table(m_settings.endpoint_table, clock),
+      m_operator_table(m_settings.operator_table, clock, random),
+      m_endpoint_table(m_settings.endpoint_table, clock, random),
+      m_seat_rows(kSeatTable, clock, random),
       m_seats({m_settings.host, m_settings.address, m_settings.pool_address,
                m_settings.zone},
               clock, random),
       m_builder(codec, clock),
-      m_failover(m_settings.host, m_settings.zone, clock, counters) {}
+      m_failover(m_settings.host, m_settings.zone, clock, counters),
+      m_started_at(clock->Now()) {
+  UpdateFollowModes();
+}
 
 void FleetCore::Handle(const Event& event) {
   std::visit([this](const auto& alternative) { On(alternative); }, event);
@@ -51,21 +55,26 @@
   return m_directory != nullptr && !m_directory->endpoints.empty();
 }
 
+std::array<TableFollower*, 3> FleetCore::Followers() {
+  return {&m_operator_table, &m_endpoint_table, &m_seat_rows};
+}
+
 TableFollower* FleetCore::FollowerOf(const std::string& table) {
-  if (table == m_operator_table.Table()) return &m_operator_table;
-  if (table == m_endpoint_table.Table()) return &m_endpoint_table;
+  for (auto* follower : Followers()) {
+    if (follower->Table() == table) return follower;
+  }
   return nullptr;
 }
 
 void FleetCore::On(const TableRead& event) {
   if (event.status != StoreStatus::kDone) m_counters->Add("store_reads_failed");
-  if (event.table == kSeatTable) {
-    if (m_seats.Handle(event)) PublishSeats();
-    return;
-  }
   if (event.table == kPrimaryTable) return m_failover.Handle(event);
   auto* follower = FollowerOf(event.table);
-  if (follower != nullptr && follower->Handle(event)) OnTableContent(*follower);
+  if (follower == nullptr) return;
+  if (follower == &m_seat_rows && event.status == StoreStatus::kDone) {
+    m_seats.ObserveStoreTime(event.now, follower->LastCallTime());
+  }
+  if (follower->Handle(event)) OnTableContent(*follower);
 }
 
 void FleetCore::On(const TableChanged& event) {
@@ -73,7 +82,14 @@
     m_counters->Add("store_follows_failed");
   }
   auto* follower = FollowerOf(event.table);
-  if (follower != nullptr && follower->Handle(event)) OnTableContent(*follower);
+  if (follower == nullptr) return;
+  const bool seats_answered =
+      follower == &m_seat_rows && event.status == StoreStatus::kDone;
+  if (seats_answered) {
+    m_seats.ObserveStoreTime(event.now, follower->LastCallTime());
+  }
+  if (follower->Handle(event)) return OnTableContent(*follower);
+  if (seats_answered) m_seats.Confirm(follower->CompleteAt());
 }
 
 void FleetCore::On(const RowWritten& event) {
@@ -81,7 +97,7 @@
     m_counters->Add("store_writes_failed");
   }
   if (m_seats.OwnsCall(event.call)) {
-    if (m_seats.Handle(event)) PublishSeats();
+    if (m_seats.Handle(event)) OnSeatsChanged();
     return;
   }
   m_failover.Handle(event);
@@ -130,101 +146,137 @@
   }
 }
 
-// Sends whole tables to a host whose copies are older.
+// Sends changes to a host whose copies are older, and asks for them if its
+// copies are newer.
 void FleetCore::OnTableDigest(const peer::Envelope& envelope,
                               const peer::TableDigest& digest) {
+  if (digest.answer) OnAnswer(envelope, digest);
+  if (digest.query) OnQuery(envelope, digest);
+  bool newer = false;
   for (const auto& item : digest.tables) {
     auto* follower = FollowerOf(item.table);
-    if (follower == nullptr || !follower->Loaded()) continue;
-    if (item.version >= follower->ContentVersion()) continue;
+    if (follower == nullptr) continue;
+    newer |= item.version > follower->ContentVersion();
+    if (!follower->Loaded() || item.version >= follower->ContentVersion())
+      continue;
     auto& sent_at =
         m_table_copy_sent_at[envelope.from_address + "/" + item.table];
     if (m_clock->Now() - sent_at < kTableCopyInterval) continue;
     sent_at = m_clock->Now();
-    peer::TableCopy copy;
-    copy.table = item.table;
-    copy.version = follower->ContentVersion();
-    for (const auto& [key, row] : follower->Rows()) {
-      copy.rows.push_back({key, row.value, row.version});
-    }
-    m_counters->Add("table_copies_sent");
-    m_actions.push_back(SendPeer{envelope.from_address, std::move(copy)});
+    SendCopy(envelope.from_address, *follower, item.version);
+  }
+  // The sender of an answer has the versions of this host already.
+  if (newer && !digest.answer) {
+    auto& asked_at = m_table_copy_sent_at[envelope.from_address + "?"];
+    if (m_clock->Now() - asked_at < kTableCopyInterval) return;
+    asked_at = m_clock->Now();
+    SendDigest(envelope.from_address, {}, true);
+  }
+}
+
+void FleetCore::SendCopy(const std::string& address,
+                         const TableFollower& follower, RowVersion since) {
+  m_counters->Add("table_copies_sent");
+  m_actions.push_back(SendPeer{address, follower.CopySince(since)});
+}
+
+void FleetCore::SendDigest(const std::string& address, peer::TableDigest digest,
+                           bool with_seats) {
+  for (const auto* follower : Followers()) {
+    if (follower == &m_seat_rows && !with_seats) continue;
+    digest.tables.push_back(follower->Digest());
   }
+  m_actions.push_back(SendPeer{address, std::move(digest)});
 }
 
 void FleetCore::OnTableCopy(const peer::TableCopy& copy) {
   auto* follower = FollowerOf(copy.table);
-  if (follower == nullptr) return;
-  std::vector<Row> rows;
-  for (const auto& item : copy.rows) {
-    rows.push_back({item.key, item.value, item.version, false});
-  }
-  if (!follower->Adopt(rows, copy.version)) return;
-  log::Event(
-      log::Channel::kPlatform, log::Level::kInfo, "table_adopted",
-      {{"table", copy.table}, {"version", std::to_string(copy.version)}});
+  if (follower == nullptr || !follower->Adopt(copy)) return;
+  if (follower != &m_seat_rows) {
+    log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_adopted",
+               {{"table", copy.table},
+                {"version", std::to_string(copy.version)},
+                {"base", std::to_string(copy.base)}});
+  }
   OnTableContent(*follower);
 }
 
 void FleetCore::OnTableContent(const TableFollower& follower) {
+  if (&follower == &m_seat_rows) {
+    if (!m_seats.Loaded()) m_first_start = follower.Rows().empty();
+    m_seats.Update(follower.Rows(), follower.CompleteAt());
+    return OnSeatsChanged();
+  }
   if (&follower == &m_operator_table) {
     m_builder.UpdateOperator(follower.Rows());
   } else {
     m_builder.UpdateEndpoints(follower.Rows());
   }
+  NotifySubscribers(follower);
   Publish();
 }
 
 void FleetCore::Publish() {
   if (!m_builder.Ready()) return;
   m_directory = m_builder.Build();
+  for (const auto& [group, row] : m_directory->groups) {
+    if (m_host_ranks.count(group) > 0) continue;
+    m_host_ranks[group] = m_seats.HostRank(group);
+  }
   m_failover.SetDirectory(m_directory);
   m_actions.push_back(PublishDirectory{m_directory});
 }
 
+// Other hosts renew their rows all the time, which changes nothing here.
 void FleetCore::PublishSeats() {
-  m_actions.push_back(relay::SeatsChanged{m_seats.View()});
+  auto view = m_seats.View();
+  if (m_published_seats == view) return;
+  m_published_seats = std::move(view);
+  m_actions.push_back(relay::SeatsChanged{*m_published_seats});
+}
+
+void FleetCore::OnSeatsChanged() {
+  PublishSeats();
+  for (auto& [group, rank] : m_host_ranks) rank = m_seats.HostRank(group);
 }
 
 void FleetCore::On(const TimerFired&) {
   if (m_builder.ExpireMissing()) Publish();
   if (m_seats.CountedSeatsChanged()) PublishSeats();
-  std::map<GroupId, std::size_t> host_ranks;
-  if (m_directory) {
-    for (const auto& [group, row] : m_directory->groups) {
-      host_ranks[group] = m_seats.HostRank(group);
-    }
-  }
+  UpdateFollowModes();
   // Failover runs only after the endpoint table has been read, since a group
   // looks empty before that. Right after a store outage no failover starts,
   // since the rows may be out of date.
   const auto now = m_clock->Now();
-  if (m_endpoint_table.Failing() || m_operator_table.Failing())
-    m_tables_current_from = now + kTablesCurrentDelay;
+  const bool tables_current =
+      ReadsStore() ? !m_endpoint_table.Failing() && !m_operator_table.Failing()
+                   : SourceConfirmed();
+  if (!tables_current) m_tables_current_from = now + kTablesCurrentDelay;
   m_failover.SetTablesCurrent(now >= m_tables_current_from);
-  if (m_endpoint_table.Loaded()) m_failover.Tick(host_ranks);
-  if (m_clock->Now() >= m_next_digest_at) SendDigests();
+  if (m_endpoint_table.Loaded()) m_failover.Tick(m_host_ranks);
+  if (now >= m_next_digest_at) SendDigests();
+  if (now >= m_next_query_at) QuerySources();
 }
 
+// Spreads versions among the hosts that read the store, so that one that is
+// cut off from it gets changes from the others.
 void FleetCore::SendDigests() {
   const bool store_failing =
       m_operator_table.Failing() || m_endpoint_table.Failing();
   m_next_digest_at = m_clock->Now() + (store_failing ? kDigestIntervalStoreDown
                                                      : kDigestInterval);
+  if (!ReadsStore()) return;
   auto peers = m_seats.Peers();
-  peer::TableDigest digest;
-  for (const auto* follower : {&m_operator_table, &m_endpoint_table}) {
-    digest.tables.push_back({follower->Table(), follower->ContentVersion()});
-  }
   for (std::size_t sent = 0; sent < kDigestFanOut && !peers.empty(); ++sent) {
     const auto pick = m_random->UniformBelow(peers.size());
-    m_actions.push_back(SendPeer{peers[pick].address, digest});
+    SendDigest(peers[pick].address, {}, false);
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
   }
 }
 
 void FleetCore::CollectActions() {
-  for (auto* follower : {&m_operator_table, &m_endpoint_table}) {
+  if (m_seats.NeedsCurrentRows()) m_seat_rows.RequestCall();
+  for (auto* follower : Followers()) {
     if (auto call = follower->NextCall()) m_actions.push_back(std::move(*call));
   }
   if (auto call = m_seats.NextCall(&m_next_call)) {
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -13,17 +13,13 @@
 
 // Longer than the store outages that hosts should survive. The share of a lost
 // host stays unused for this long.
-constexpr Milliseconds kLease{60'000};
+constexpr Milliseconds kLease{68'000};
 // The holder stops this long before other hosts may take the seat, to allow for
 // clock drift.
 constexpr Milliseconds kLeaseMargin{2'000};
-constexpr Milliseconds kRenewInterval{10'000};
-constexpr Milliseconds kReadInterval{5'000};
-// Hosts that start at the same time discover each other quickly.
-constexpr Milliseconds kInitialReadInterval{900};
-constexpr int kInitialReads = 5;
-// Within this time all hosts that reach the store have read a new row; see
-// kReadInterval.
+constexpr Milliseconds kRenewInterval{20'000};
+// Within this time all hosts that reach the store have a new row: readers poll
+// the table, and other hosts ask their readers.
 constexpr Milliseconds kSeatVisibilityDelay{6'000};
 // A seat is no longer counted when its lease expired this long ago. During the
 // first half of this time its host may take the seat back together with its
@@ -35,8 +31,22 @@
 // Fraction of the restart allowance that a process may use before its start is
 // recorded in the seat row.
 constexpr double kUnconfirmedRestartShare = 0.5;
+// The delay doubles with each failure, and hosts wait for different times, so
+// that they do not all write at once when the store is back.
 constexpr Milliseconds kRetryDelay{400};
-constexpr Milliseconds kConflictJitter{300};
+constexpr int kMaxDoublings = 3;
+// The same while the lease still has more than kUrgentLeaseLeft to run.
+constexpr Milliseconds kUnhurriedRetryDelay{4'000};
+constexpr Milliseconds kUrgentLeaseLeft{25'000};
+// When a fleet starts for the first time, hosts write their first rows within
+// this time.
+constexpr Milliseconds kFirstStartSpread{2'500};
+// Time that the store needs for one write, with a margin. Hosts of a known
+// fleet spread their writes over this time for each row of the table.
+constexpr Milliseconds kWriteTime{7};
+// A new host chooses among this many free seats.
+constexpr std::size_t kSeatChoices = 16;
+constexpr std::size_t kMaxSeats = 8192;
 constexpr int kKeyDigits = 4;
 
 std::string SeatKey(std::size_t seat) {
@@ -46,6 +56,16 @@
   return digits;
 }
 
+// The seat whose row has this key; nullopt if no host writes such a key.
+std::optional<std::size_t> SeatOfKey(const std::string& key) {
+  std::size_t seat = 0;
+  const auto* end = key.data() + key.size();
+  const auto parsed = std::from_chars(key.data(), end, seat);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+  if (seat >= kMaxSeats) return std::nullopt;
+  return seat;
+}
+
 }  // namespace
 
 std::string SeatTable::Encode(const Seat& seat) const {
@@ -88,73 +108,89 @@
 
 std::optional<Action> SeatTable::NextCall(CallId* next_call) {
   const auto now = m_clock->Now();
-  if (m_read_outstanding || m_call != 0) return std::nullopt;
-  if (!m_loaded || now >= m_next_read_at) {
-    m_read_outstanding = true;
-    m_read_sent_at = now;
-    return ReadTable{kSeatTable};
-  }
-  if (now < m_next_renew_at) return std::nullopt;
-  const auto seat = m_held_seat ? m_held_seat : ChooseSeat();
+  if (!m_loaded || m_call != 0 || now < m_next_renew_at) return std::nullopt;
+  if (!m_held_seat && NeedsCurrentRows()) return std::nullopt;
   m_call = (*next_call)++;
-  m_call_seat = seat.value_or(m_seats.size());
+  m_call_seat = m_held_seat ? *m_held_seat : ChooseSeat();
   m_call_row = RenewedRow(m_call_seat);
   m_call_sent_at = now;
   return WriteRow{m_call, kSeatTable, SeatKey(m_call_seat), Encode(m_call_row),
                   m_call_row.version};
 }
 
-// Returns the seat of an earlier process of this host, otherwise a seat whose
-// lease has expired.
-std::optional<std::size_t> SeatTable::ChooseSeat() const {
+bool SeatTable::NeedsCurrentRows() const {
+  if (m_held_seat || !m_loaded || m_call != 0) return false;
+  return m_clock->Now() >= m_next_renew_at &&
+         m_store_time_requested_at < m_next_renew_at;
+}
+
+// Returns the seat of an earlier process of this host, otherwise one of the
+// seats that are free or whose lease has expired.
+std::size_t SeatTable::ChooseSeat() const {
+  std::vector<std::size_t> free;
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
-    if (m_seats[i].host == m_self.host) return i;
+    const auto& seat = m_seats[i];
+    if (seat.host == m_self.host) return i;
+    const bool never_used = seat.version == 0;
+    if (never_used || seat.renewed_at + kLease < m_store_time) {
+      free.push_back(i);
+    }
   }
-  for (std::size_t i = 0; i < m_seats.size(); ++i) {
-    if (m_seats[i].renewed_at + kLease < m_store_time) return i;
+  for (auto i = m_seats.size(); free.size() < kSeatChoices; ++i) {
+    free.push_back(i);
   }
-  return std::nullopt;
+  return free[m_random->UniformBelow(kSeatChoices)];
 }
 
-bool SeatTable::Handle(const TableRead& event) {
-  m_read_outstanding = false;
+void SeatTable::ObserveStoreTime(StoreTime now, Instant requested_at) {
+  if (requested_at < m_store_time_requested_at) return;
+  m_store_time = now;
+  m_store_time_requested_at = requested_at;
+}
+
+void SeatTable::Confirm(StoreTime complete_at) {
+  m_complete_at = std::max(m_complete_at, complete_at);
+}
+
+bool SeatTable::Update(const std::map<std::string, Row>& rows,
+                       StoreTime complete_at) {
+  Confirm(complete_at);
   const auto now = m_clock->Now();
-  if (event.status != StoreStatus::kDone) {
-    m_next_read_at = now + kRetryDelay;
-    return false;
-  }
-  ++m_read_count;
-  m_next_read_at = now + (m_read_count < kInitialReads ? kInitialReadInterval
-                                                       : kReadInterval);
-  m_loaded = true;
-  m_store_time = event.now;
-  m_store_time_requested_at = m_read_sent_at;
-  std::vector<Seat> seats;
-  for (const auto& row : event.rows) {
+  // Rows are never removed, so a seat keeps its number. Numbers without a row
+  // were never used.
+  for (const auto& [key, row] : rows) {
+    const auto number = SeatOfKey(key);
     const auto json = ParseJson(row.value);
-    Seat seat;
-    seat.version = row.version;
-    if (json) {
-      seat.host = StringOr(json.value(), "host");
-      seat.address = StringOr(json.value(), "address");
-      seat.pool_address = StringOr(json.value(), "pool");
-      seat.zone = StringOr(json.value(), "zone");
-      const auto store_time = [&](const char* name) {
-        return StoreTime(
-            static_cast<StoreTime::rep>(UintOr(json.value(), name)));
-      };
-      seat.renewed_at = store_time("renewed");
-      seat.counts_from = store_time("counts_from");
-      seat.adopted_at = store_time("adopted");
-    } else {
+    if (!number || !json) {
       log::Event(log::Channel::kMembership, log::Level::kWarn,
-                 "seat_unreadable", {{"seat", row.key}});
+                 "seat_unreadable", {{"seat", key}});
+      if (!number) continue;
     }
-    seats.push_back(std::move(seat));
+    if (*number >= m_seats.size()) m_seats.resize(*number + 1);
+    auto& seat = m_seats[*number];
+    if (row.version <= seat.version) continue;
+    seat = {};
+    seat.version = row.version;
+    if (!json) continue;
+    seat.host = StringOr(json.value(), "host");
+    seat.address = StringOr(json.value(), "address");
+    seat.pool_address = StringOr(json.value(), "pool");
+    seat.zone = StringOr(json.value(), "zone");
+    const auto store_time = [&](const char* name) {
+      return StoreTime(static_cast<StoreTime::rep>(UintOr(json.value(), name)));
+    };
+    seat.renewed_at = store_time("renewed");
+    seat.counts_from = store_time("counts_from");
+    seat.adopted_at = store_time("adopted");
+  }
+  if (!m_loaded) {
+    const auto spread = rows.empty()
+                            ? kFirstStartSpread
+                            : kWriteTime * static_cast<int>(rows.size());
+    m_next_renew_at = now + Milliseconds(m_random->UniformBelow(
+                                static_cast<std::uint64_t>(spread.count())));
+    m_loaded = true;
   }
-  // Rows are never removed, so row indexes are stable.
-  if (seats.size() < m_seats.size()) return false;
-  m_seats = std::move(seats);
   if (!m_held_seat) AdoptOwnSeat();
   if (m_held_seat && m_seats[*m_held_seat].host != m_self.host) {
     log::Event(log::Channel::kMembership, log::Level::kWarn, "seat_lost",
@@ -169,6 +205,8 @@
 // whose answer was lost. Other hosts may take the seat only after the lease in
 // the row has expired.
 void SeatTable::AdoptOwnSeat() {
+  // Without the store's time it is unknown how long the lease still runs.
+  if (m_store_time_requested_at == Instant{}) return;
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
     const auto& seat = m_seats[i];
     if (seat.host != m_self.host) continue;
@@ -181,7 +219,6 @@
         m_store_time - seat.adopted_at < kRestartWindow;
     m_restart_share = repeated_restart ? 0 : kUnconfirmedRestartShare;
     m_adopted_at = StoreNow();
-    m_next_renew_at = m_clock->Now();
     log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_adopted",
                {{"seat", std::to_string(i)},
                 {"left_ms", std::to_string(lease_left.count())},
@@ -194,6 +231,8 @@
   m_call = 0;
   const auto now = m_clock->Now();
   if (event.status == StoreStatus::kDone) {
+    m_failures = 0;
+    ObserveStoreTime(event.now, m_call_sent_at);
     if (m_call_seat >= m_seats.size()) m_seats.resize(m_call_seat + 1);
     auto& seat = m_seats[m_call_seat];
     seat = m_call_row;
@@ -207,7 +246,6 @@
     m_held_seat = m_call_seat;
     m_adopted_at = seat.adopted_at;
     m_restart_share = kUnconfirmedRestartShare;
-    m_next_read_at = now;
     log::Event(log::Channel::kMembership, log::Level::kInfo, "seat_taken",
                {{"seat", std::to_string(m_call_seat)},
                 {"counts_in_ms",
@@ -215,13 +253,14 @@
     return true;
   }
   // After a conflict or a lost answer, the next read shows who holds the seat.
-  m_next_renew_at =
-      now + Milliseconds(m_random->UniformBelow(kConflictJitter.count()));
-  m_next_read_at = m_next_renew_at;
-  if (event.status != StoreStatus::kConflict) {
-    m_next_renew_at = now + kRetryDelay;
-    m_next_read_at = m_next_renew_at;
-  }
+  const bool lease_is_long =
+      m_held_seat && m_valid_until - now > kUrgentLeaseLeft;
+  const auto delay = (lease_is_long ? kUnhurriedRetryDelay : kRetryDelay) *
+                     (1 << std::min(m_failures, kMaxDoublings));
+  ++m_failures;
+  m_next_renew_at = now + delay +
+                    Milliseconds(m_random->UniformBelow(
+                        static_cast<std::uint64_t>(delay.count() / 2)));
   return false;
 }
 
@@ -230,9 +269,10 @@
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
     const auto& seat = m_seats[i];
     if (seat.counts_from > StoreNow()) continue;
-    // Uses the store's time of the last read: no host can renew its lease while
-    // the store is unavailable.
-    if (seat.renewed_at + kLease + kCountedPastLease <= m_store_time) continue;
+    if (seat.version == 0) continue;
+    // Uses the time at which the rows were complete: no host can renew its
+    // lease while the store is unavailable.
+    if (seat.renewed_at + kLease + kCountedPastLease <= m_complete_at) continue;
     counted.push_back(static_cast<int>(i));
   }
   return counted;
@@ -260,12 +300,12 @@
   return view;
 }
 
-std::vector<SeatTable::Peer> SeatTable::Peers() const {
-  std::vector<Peer> peers;
+std::vector<FleetHost> SeatTable::Peers() const {
+  std::vector<FleetHost> peers;
   for (const auto& seat : m_seats) {
     if (seat.host.empty() || seat.host == m_self.host) continue;
-    if (seat.renewed_at + kLease < m_store_time) continue;
-    peers.push_back({seat.host, seat.address});
+    if (seat.renewed_at + kLease < m_complete_at) continue;
+    peers.push_back({seat.host, seat.address, seat.zone});
   }
   return peers;
 }
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -11,8 +11,13 @@
 // time, on the store's clock, by which all hosts have read its row. A seat
 // whose lease expired stays counted for longer than its host may take it back
 // unchanged.
+//
+// Hosts that start at the same time write their first rows at different moments
+// and to different seats: the store executes these writes one after another and
+// refuses them when too many wait.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,6 +26,7 @@
 #include "Common/clock.h"
 #include "Common/random.h"
 #include "Fleet/fleet_messages.h"
+#include "Fleet/reader_choice.h"
 
 namespace tiller::fleet {
 
@@ -38,22 +44,30 @@
   SeatTable(SeatIdentity self, const Clock* clock, Random* random)
       : m_self(std::move(self)), m_clock(clock), m_random(random) {}
 
-  // Returns the next call that is due. At most one call is outstanding.
+  // Returns the next write that is due. At most one is outstanding.
   std::optional<Action> NextCall(CallId* next_call);
-  // Both return true if the view changed.
-  bool Handle(const TableRead& event);
+  // Applies the rows of the seat table, which were complete at `complete_at`.
+  // Returns true if the view changed.
+  bool Update(const std::map<std::string, Row>& rows, StoreTime complete_at);
+  // Records an answer of the store without changed rows.
+  void Confirm(StoreTime complete_at);
+  // Records the store's time in an answer to a request that was sent at
+  // `requested_at`.
+  void ObserveStoreTime(StoreTime now, Instant requested_at);
+  // Returns true if the view changed.
   bool Handle(const RowWritten& event);
+  // True if the table has to be read before a seat is taken, so that the host
+  // does not choose one that another host has just taken.
+  bool NeedsCurrentRows() const;
+  // True once rows of the table have been received.
+  bool Loaded() const { return m_loaded; }
   bool OwnsCall(CallId call) const { return m_call == call && call != 0; }
   // True if the set of counted seats has changed since the last call of View.
   bool CountedSeatsChanged() const;
 
   limits::SeatView View();
-  struct Peer {
-    std::string host;
-    std::string address;
-  };
   // Returns the other hosts that hold a seat with a lease that has not expired.
-  std::vector<Peer> Peers() const;
+  std::vector<FleetHost> Peers() const;
   // Returns the rank of this host in an order of all hosts that depends only on
   // `name`. The rank is in [0, number of hosts).
   std::size_t HostRank(const std::string& name) const;
@@ -71,7 +85,7 @@
     StoreTime adopted_at{0};
     RowVersion version = 0;
   };
-  std::optional<std::size_t> ChooseSeat() const;
+  std::size_t ChooseSeat() const;
   std::string Encode(const Seat& seat) const;
   Seat RenewedRow(std::size_t seat) const;
   void AdoptOwnSeat();
@@ -91,16 +105,16 @@
   // it.
   double m_restart_share = 0;
   StoreTime m_adopted_at{0};
-  // The store's time in the last answer, and the local time before that
-  // request.
+  // The store's time at which the rows were complete.
+  StoreTime m_complete_at{0};
+  // The store's time in the last answer to this host, and the local time before
+  // that request.
   StoreTime m_store_time{0};
   Instant m_store_time_requested_at{};
   bool m_loaded = false;
-  bool m_read_outstanding = false;
-  int m_read_count = 0;
-  Instant m_read_sent_at{};
-  Instant m_next_read_at{};
   Instant m_next_renew_at{};
+  // Consecutive writes that failed.
+  int m_failures = 0;
   // The write in progress.
   CallId m_call = 0;
   std::size_t m_call_seat = 0;
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -14,58 +14,102 @@
 // hosts, which send newer copies.
 constexpr Milliseconds kFollowWait{10'000};
 constexpr Milliseconds kInitialRetryDelay{100};
-constexpr Milliseconds kMaxRetryDelay{800};
-constexpr int kMaxDoublings = 3;
+constexpr int kMaxDoublings = 4;
+// First pause of a host that only checks whether the store answers. Hundreds of
+// such hosts call at the same time, and refused calls are a load as well.
+constexpr Milliseconds kProbeInterval{1'200};
+constexpr int kMaxProbeDoublings = 2;
 
 }  // namespace
 
+void TableFollower::SetMode(FollowMode mode, Milliseconds interval) {
+  m_interval = interval;
+  if (mode == m_mode) return;
+  m_mode = mode;
+  m_next_call_at = m_clock->Now();
+  if (mode == FollowMode::kProbe) {
+    m_next_call_at +=
+        Milliseconds(m_random->UniformBelow(kProbeInterval.count()));
+  } else if (mode == FollowMode::kLongPoll) {
+    m_call_requested = true;
+  }
+}
+
 std::optional<Action> TableFollower::NextCall() {
-  if (m_call_outstanding || m_clock->Now() < m_retry_at) return std::nullopt;
-  m_call_outstanding = true;
-  if (m_read_needed) return ReadTable{m_table};
+  const auto now = m_clock->Now();
+  if (m_call_outstanding) return std::nullopt;
+  const bool at_once = m_call_requested && m_failures == 0;
+  if (!at_once && now < m_next_call_at) return std::nullopt;
+  if (!m_call_requested && m_mode == FollowMode::kPaused && m_loaded) {
+    return std::nullopt;
+  }
   // After a failure the call does not wait: its answer shows that the store is
   // available again.
-  const auto wait = m_failures > 0 ? Milliseconds{0} : kFollowWait;
-  return FollowTable{m_table, m_store_version, wait};
+  const bool waits =
+      m_mode == FollowMode::kLongPoll && m_failures == 0 && !m_call_requested;
+  m_call_requested = false;
+  m_call_outstanding = true;
+  m_last_call_at = now;
+  if (m_read_needed) return ReadTable{m_table};
+  return FollowTable{m_table, m_store_version,
+                     waits ? kFollowWait : Milliseconds{0}};
 }
 
 bool TableFollower::RecordFailure(StoreStatus status) {
-  const int doublings = std::min(m_failures, kMaxDoublings);
+  const bool probe = m_mode == FollowMode::kProbe;
+  const int doublings =
+      std::min(m_failures, probe ? kMaxProbeDoublings : kMaxDoublings);
   if (m_failures++ == 0) {
     log::Event(log::Channel::kPlatform, log::Level::kWarn, "store_lost",
                {{"table", m_table},
                 {"status", std::string(NameOf(kStoreStatusNames, status))},
                 {"version", std::to_string(m_content_version)}});
   }
-  m_retry_at =
+  m_next_call_at =
       m_clock->Now() +
-      std::min<Duration>(kInitialRetryDelay * (1 << doublings), kMaxRetryDelay);
+      (probe ? kProbeInterval : kInitialRetryDelay) * (1 << doublings);
   return false;
 }
 
-void TableFollower::RecordSuccess() {
+void TableFollower::RecordSuccess(StoreTime now) {
   if (m_failures > 0) {
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "store_regained",
                {{"table", m_table}});
   }
   m_failures = 0;
+  m_complete_at = std::max(m_complete_at, now);
   m_last_answer_at = m_clock->Now();
+  m_next_call_at = m_clock->Now() +
+                   (m_mode == FollowMode::kProbe ? kProbeInterval : m_interval);
+}
+
+void TableFollower::Apply(const Row& row) {
+  m_content_version = std::max(m_content_version, row.version);
+  if (row.deleted) {
+    m_rows.erase(row.key);
+    m_deletions[row.key] = row.version;
+  } else {
+    m_rows[row.key] = row;
+    m_deletions.erase(row.key);
+  }
 }
 
 bool TableFollower::Handle(const TableRead& event) {
   m_call_outstanding = false;
   if (event.status != StoreStatus::kDone) return RecordFailure(event.status);
-  RecordSuccess();
   m_read_needed = false;
-  m_store_version = event.version;
+  m_store_version = std::max(m_store_version, event.version);
   // A read that started before a newer copy from another host was adopted is
-  // discarded below.
-  RowVersion newest = 0;
-  for (const auto& row : event.rows) newest = std::max(newest, row.version);
-  if (m_loaded && event.version < m_content_version) return false;
+  // discarded.
+  if (m_loaded && event.version < m_content_version) {
+    RecordSuccess(StoreTime{0});
+    return false;
+  }
+  RecordSuccess(event.now);
   m_rows.clear();
-  for (const auto& row : event.rows) m_rows[row.key] = row;
-  m_content_version = std::max(m_content_version, newest);
+  m_deletions.clear();
+  for (const auto& row : event.rows) Apply(row);
+  m_deletions_known_from = m_content_version;
   m_loaded = true;
   return true;
 }
@@ -79,31 +123,76 @@
     return false;
   }
   if (event.status != StoreStatus::kDone) return RecordFailure(event.status);
-  RecordSuccess();
+  RecordSuccess(event.now);
   m_store_version = std::max(m_store_version, event.version);
   bool changed = false;
   for (const auto& row : event.rows) {
     const auto it = m_rows.find(row.key);
     if (it != m_rows.end() && it->second.version >= row.version) continue;
-    m_content_version = std::max(m_content_version, row.version);
-    changed = true;
-    if (row.deleted) {
-      m_rows.erase(row.key);
-    } else {
-      m_rows[row.key] = row;
+    const auto deletion = m_deletions.find(row.key);
+    if (deletion != m_deletions.end() && deletion->second >= row.version) {
+      continue;
     }
+    Apply(row);
+    changed = true;
   }
   return changed;
 }
 
-bool TableFollower::Adopt(const std::vector<Row>& rows,
-                          RowVersion content_version) {
-  if (m_loaded && content_version <= m_content_version) return false;
-  m_rows.clear();
-  for (const auto& row : rows) m_rows[row.key] = row;
-  m_content_version = content_version;
+peer::TableDigest::Item TableFollower::Digest() const {
+  return {m_table, m_content_version, m_store_version,
+          static_cast<std::uint64_t>(m_complete_at.count())};
+}
+
+peer::TableCopy TableFollower::CopySince(RowVersion version) const {
+  peer::TableCopy copy;
+  copy.table = m_table;
+  copy.version = m_content_version;
+  copy.complete_to = m_store_version;
+  copy.complete_at_ms = static_cast<std::uint64_t>(m_complete_at.count());
+  if (version >= m_deletions_known_from) copy.base = version;
+  for (const auto& [key, row] : m_rows) {
+    if (row.version <= copy.base) continue;
+    copy.rows.push_back({key, row.value, row.version, false});
+  }
+  if (copy.base == 0) return copy;
+  for (const auto& [key, deleted_at] : m_deletions) {
+    if (deleted_at <= copy.base) continue;
+    copy.rows.push_back({key, {}, deleted_at, true});
+  }
+  return copy;
+}
+
+bool TableFollower::Adopt(const peer::TableCopy& copy) {
+  if (copy.version == 0) return false;
+  if (m_loaded && copy.version <= m_content_version) return false;
+  const bool whole = copy.base == 0;
+  // Changes between the local content and the copy's base would be missing.
+  if (!whole && (!m_loaded || copy.base > m_content_version)) return false;
+  if (whole) {
+    m_rows.clear();
+    m_deletions.clear();
+    m_deletions_known_from = copy.version;
+  }
+  for (const auto& row : copy.rows) {
+    const auto it = m_rows.find(row.key);
+    if (it != m_rows.end() && it->second.version >= row.version) continue;
+    Apply({row.key, row.value, row.version, row.deleted});
+  }
+  m_content_version = copy.version;
   m_loaded = true;
+  m_read_needed = false;
+  Confirm({m_table, copy.version, copy.complete_to, copy.complete_at_ms});
   return true;
 }
 
+void TableFollower::Confirm(const peer::TableDigest::Item& item) {
+  if (!m_loaded || item.version != m_content_version) return;
+  m_store_version =
+      std::max({m_store_version, item.complete_to, m_content_version});
+  m_complete_at =
+      std::max(m_complete_at,
+               StoreTime(static_cast<StoreTime::rep>(item.complete_at_ms)));
+}
+
 }  // namespace tiller::fleet
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -1,6 +1,7 @@
 // Keeps a copy of one of the store's tables. Reads the whole table once, then
 // polls for changes. Reads the table again if the store has discarded the
-// change history.
+// change history. While it is paused, it calls the store only for the first
+// read; changes come as copies from other hosts.
 #pragma once
 
 #include <map>
@@ -10,14 +11,22 @@
 #include <vector>
 
 #include "Common/clock.h"
+#include "Common/random.h"
 #include "Fleet/fleet_messages.h"
 
 namespace tiller::fleet {
 
+enum class FollowMode {
+  kPaused,    // no calls after the first read
+  kProbe,     // one call without waiting at a time, with long pauses
+  kInterval,  // polls at a fixed interval; for tables that change constantly
+  kLongPoll   // waits at the store for the next change
+};
+
 class TableFollower {
  public:
-  TableFollower(std::string table, const Clock* clock)
-      : m_table(std::move(table)), m_clock(clock) {}
+  TableFollower(std::string table, const Clock* clock, Random* random)
+      : m_table(std::move(table)), m_clock(clock), m_random(random) {}
 
   const std::string& Table() const { return m_table; }
   const std::map<std::string, Row>& Rows() const { return m_rows; }
@@ -25,34 +34,64 @@
   // The highest version of any row received, including deletions. Equal content
   // versions mean equal content.
   RowVersion ContentVersion() const { return m_content_version; }
+  bool Failing() const { return m_failures > 0; }
   // Time of the last successful answer of the store.
   Instant LastAnswerTime() const { return m_last_answer_at; }
-  bool Failing() const { return m_failures > 0; }
+  // Local time just before the last call was made.
+  Instant LastCallTime() const { return m_last_call_at; }
+  // The time on the store's clock at which the content was known to be
+  // complete.
+  StoreTime CompleteAt() const { return m_complete_at; }
 
+  // `interval` is the time from an answer to the next call; it applies to
+  // kInterval and kLongPoll. The first call in a new mode does not wait.
+  void SetMode(FollowMode mode, Milliseconds interval = Milliseconds{0});
+  // Makes one call without waiting, also while paused, unless one is in
+  // progress.
+  void RequestCall() { m_call_requested = !m_call_outstanding; }
   // The next call to make, if one is due.
   std::optional<Action> NextCall();
   // Both return true if the content changed.
   bool Handle(const TableRead& event);
   bool Handle(const TableChanged& event);
+
+  peer::TableDigest::Item Digest() const;
+  // The rows that changed after `version`, or the whole table if deletions
+  // since then are not known.
+  peer::TableCopy CopySince(RowVersion version) const;
   // Applies a copy from another host if it is newer than the local content or
-  // nothing is loaded yet. Returns true if the copy was applied.
-  bool Adopt(const std::vector<Row>& rows, RowVersion content_version);
+  // nothing is loaded yet. Returns true if the content changed.
+  bool Adopt(const peer::TableCopy& copy);
+  // Records that another host's copy with the same content was complete up to
+  // the given version and time of the store.
+  void Confirm(const peer::TableDigest::Item& item);
 
  private:
   bool RecordFailure(StoreStatus status);
-  void RecordSuccess();
+  void RecordSuccess(StoreTime now);
+  void Apply(const Row& row);
 
   const std::string m_table;
   const Clock* const m_clock;
+  Random* const m_random;
+  FollowMode m_mode = FollowMode::kLongPoll;
+  Milliseconds m_interval{0};
   std::map<std::string, Row> m_rows;
+  // Versions at which rows were deleted, complete from
+  // `m_deletions_known_from`.
+  std::map<std::string, RowVersion> m_deletions;
+  RowVersion m_deletions_known_from = 0;
   bool m_loaded = false;
   bool m_call_outstanding = false;
+  bool m_call_requested = false;
   bool m_read_needed = true;
   // Store version up to which changes have been applied.
   RowVersion m_store_version = 0;
   RowVersion m_content_version = 0;
+  StoreTime m_complete_at{0};
   int m_failures = 0;
-  Instant m_retry_at{};
+  Instant m_next_call_at{};
+  Instant m_last_call_at{};
   Instant m_last_answer_at{};
 };
 
--- a/Source/Limits/seat_view.h
+++ b/Source/Limits/seat_view.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
+#include <functional>
 #include <numeric>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "Common/crypto.h"
@@ -40,6 +43,8 @@
     return all;
   }
 
+  bool operator==(const SeatView&) const = default;
+
   bool Holds(int seat) const {
     return std::find(held.begin(), held.end(), seat) != held.end();
   }
@@ -47,15 +52,26 @@
 
 // Ranks the seats by a hash of `name` and the seat (rendezvous hashing) and
 // returns the first `count`. All hosts compute the same ranking.
-inline std::vector<int> RankSeats(std::string_view name, std::vector<int> seats,
+inline std::vector<int> RankSeats(std::string_view name,
+                                  const std::vector<int>& seats,
                                   std::size_t count) {
-  const auto weight = [&](int seat) {
-    return StableHash(std::string(name) + "/" + std::to_string(seat));
-  };
-  std::sort(seats.begin(), seats.end(),
-            [&](int a, int b) { return weight(a) > weight(b); });
-  if (seats.size() > count) seats.resize(count);
-  return seats;
+  std::vector<std::pair<std::uint64_t, int>> weights;
+  weights.reserve(seats.size());
+  std::string text = std::string(name) + "/";
+  const auto prefix = text.size();
+  for (const int seat : seats) {
+    text.resize(prefix);
+    text += std::to_string(seat);
+    weights.emplace_back(StableHash(text), seat);
+  }
+  count = std::min(count, weights.size());
+  std::partial_sort(weights.begin(),
+                    weights.begin() + static_cast<std::ptrdiff_t>(count),
+                    weights.end(), std::greater<>());
+  std::vector<int> ranked;
+  ranked.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) ranked.push_back(weights[i].second);
+  return ranked;
 }
 
 }  // namespace tiller::limits
--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -50,6 +50,11 @@
   for (auto& [name, bucket] : m_buckets) Refill(&bucket, now);
   const double restart_share_before = m_seats.restart_share;
   m_seats = seats;
+  auto counted = seats.CountedSeats();
+  if (counted != m_counted || m_counted_version == 0) {
+    m_counted = std::move(counted);
+    ++m_counted_version;
+  }
   std::set<WorkspaceId> present;
   for (const auto& limit : limits) {
     present.insert(limit.workspace);
@@ -71,11 +76,17 @@
 
 void TokenShare::SetSeats(Bucket* bucket, const SeatView& seats,
                           double restart_share_before, Instant now) {
-  const auto counted = seats.CountedSeats();
   const auto home_count = std::clamp<std::size_t>(
       static_cast<std::size_t>(bucket->limit.burst / kMinTokensPerSeat), 1,
-      std::max<std::size_t>(counted.size(), 1));
-  bucket->home_seats = RankSeats(bucket->limit.workspace, counted, home_count);
+      std::max<std::size_t>(m_counted.size(), 1));
+  // Ranking hundreds of seats for hundreds of workspaces takes longer than a
+  // request may wait, so it is repeated only when its result can change.
+  if (bucket->ranked_from != m_counted_version ||
+      bucket->home_seats.size() != home_count) {
+    bucket->home_seats =
+        RankSeats(bucket->limit.workspace, m_counted, home_count);
+    bucket->ranked_from = m_counted_version;
+  }
   std::vector<int> held;
   for (const int seat : bucket->home_seats) {
     if (seats.Holds(seat)) held.push_back(seat);
@@ -85,7 +96,8 @@
     kept_count += static_cast<std::size_t>(
         std::count(bucket->held.begin(), bucket->held.end(), seat));
   }
-  const double per_seat = 1.0 / static_cast<double>(bucket->home_seats.size());
+  const double per_seat = 1.0 / static_cast<double>(std::max<std::size_t>(
+                                    bucket->home_seats.size(), 1));
   const auto cap_of = [&](std::size_t count) {
     return static_cast<MicroTokens>(bucket->limit.burst * per_seat *
                                     static_cast<double>(count) *
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -116,6 +116,8 @@
   struct Bucket {
     RateLimit limit;
     std::vector<int> home_seats;  // all seats that share the limit
+    // Value of m_counted_version when the home seats were ranked.
+    std::uint64_t ranked_from = 0;
     std::vector<int> held;        // home seats held by this host
     MicroTokens level = 0;        // 0 <= level, level + reserved <= cap
     MicroTokens cap = 0;
@@ -151,6 +153,9 @@
   Random* const m_random;
   Counters* const m_counters;
   SeatView m_seats;
+  // The counted seats, and the number of times they have changed.
+  std::vector<int> m_counted;
+  std::uint64_t m_counted_version = 0;
   std::uint64_t m_next_request_id = 1;
   std::unordered_map<WorkspaceId, Bucket> m_buckets;
   std::vector<AddressedShareMessage> m_outgoing;
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -202,14 +202,25 @@
     Json::Value entry;
     entry["table"] = item.table;
     entry["version"] = JsonUint(item.version);
+    entry["complete_to"] = JsonUint(item.complete_to);
+    entry["complete_at"] = JsonUint(item.complete_at_ms);
     (*out)["tables"].append(std::move(entry));
   }
+  if (message.query) (*out)["query"] = true;
+  if (message.subscribe) (*out)["subscribe"] = true;
+  if (message.answer) (*out)["answer"] = true;
+  if (message.confirmed) (*out)["confirmed"] = true;
 }
 void DecodeBody(const Json::Value& json, TableDigest* message) {
   for (const auto& item : json["tables"]) {
-    message->tables.push_back(
-        {StringOr(item, "table"), UintOr(item, "version")});
+    message->tables.push_back({StringOr(item, "table"), UintOr(item, "version"),
+                               UintOr(item, "complete_to"),
+                               UintOr(item, "complete_at")});
   }
+  message->query = BoolOr(json, "query");
+  message->subscribe = BoolOr(json, "subscribe");
+  message->answer = BoolOr(json, "answer");
+  message->confirmed = BoolOr(json, "confirmed");
 }
 void EncodeBody(const StepDownRequest& message, Json::Value* out) {
   (*out)["group"] = message.group;
@@ -224,22 +235,34 @@
 void EncodeBody(const TableCopy& message, Json::Value* out) {
   (*out)["table"] = message.table;
   (*out)["version"] = JsonUint(message.version);
+  (*out)["base"] = JsonUint(message.base);
+  (*out)["complete_to"] = JsonUint(message.complete_to);
+  (*out)["complete_at"] = JsonUint(message.complete_at_ms);
   for (const auto& row : message.rows) {
     Json::Value entry;
     entry["key"] = row.key;
     entry["value"] = Base64UrlEncode(row.value);
     entry["version"] = JsonUint(row.version);
+    if (row.deleted) entry["deleted"] = true;
     (*out)["rows"].append(std::move(entry));
   }
 }
 void DecodeBody(const Json::Value& json, TableCopy* message) {
   message->table = StringOr(json, "table");
   message->version = UintOr(json, "version");
+  message->base = UintOr(json, "base");
+  message->complete_to = UintOr(json, "complete_to");
+  message->complete_at_ms = UintOr(json, "complete_at");
   for (const auto& row : json["rows"]) {
     auto value = Base64UrlDecode(StringOr(row, "value"));
-    if (!value) continue;
-    message->rows.push_back(
-        {StringOr(row, "key"), std::move(*value), UintOr(row, "version")});
+    if (!value) {
+      // A copy that lacks a row must not count as up to date. Version 0 is
+      // older than every copy, so the receiver ignores it.
+      message->version = 0;
+      return;
+    }
+    message->rows.push_back({StringOr(row, "key"), std::move(*value),
+                             UintOr(row, "version"), BoolOr(row, "deleted")});
   }
 }
 
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -104,20 +104,38 @@
   struct Item {
     std::string table;
     std::uint64_t version = 0;
+    // The copy contains all changes up to this version of the store and this
+    // time on the store's clock; 0 if the sender does not know.
+    std::uint64_t complete_to = 0;
+    std::uint64_t complete_at_ms = 0;
   };
   std::vector<Item> tables;
-};
-// A complete table, sent to a host whose copy is older, since that host may be
+  // The sender does not read the store itself and asks for an answer.
+  bool query = false;
+  // With `query`: changes are to be sent as soon as the receiver has them.
+  bool subscribe = false;
+  // This is the answer to a query.
+  bool answer = false;
+  // With `answer`: the sender follows the store, and its last call succeeded.
+  bool confirmed = false;
+};
+// Rows of a table, sent to a host whose copy is older, since that host may be
 // unable to reach the platform.
 struct TableCopy {
   struct Item {
     std::string key;
     std::string value;
     std::uint64_t version = 0;
+    bool deleted = false;
   };
   std::string table;
   std::uint64_t version = 0;
   std::vector<Item> rows;
+  // The rows changed after this version; 0: the rows are the whole table.
+  std::uint64_t base = 0;
+  // As in TableDigest::Item.
+  std::uint64_t complete_to = 0;
+  std::uint64_t complete_at_ms = 0;
 };
 
 // Asks the receiver to make a primary of a lower term step down. The sender
--- a/Source/UnitTests/Fleet/fleet_core_test.cc
+++ b/Source/UnitTests/Fleet/fleet_core_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "UnitTests/Support/fleet_simulation.h"
 
 namespace tiller::fleet {
@@ -61,7 +63,12 @@
   std::set<int> held;
   for (int i = 0; i < 9; ++i) {
     ASSERT_EQ(simulation.SeatsOf(i).held.size(), 1U) << i;
-    EXPECT_EQ(simulation.SeatsOf(i).zones.size(), 9U);
+    EXPECT_EQ(simulation.SeatsOf(i).counted.size(), 9U);
+    const auto& holders = simulation.SeatsOf(i).holders;
+    EXPECT_EQ(std::set<HostId>(holders.begin(), holders.end()).size() -
+                  static_cast<std::size_t>(
+                      std::count(holders.begin(), holders.end(), "") > 0),
+              9U);
     EXPECT_TRUE(held.insert(simulation.SeatsOf(i).held[0]).second);
   }
 }
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -13,6 +13,7 @@
 constexpr Milliseconds kTickInterval{25};
 constexpr Milliseconds kPromotionTime{600};
 constexpr char kGroup[] = "g";
+constexpr int kZones = 3;
 
 }  // namespace
 
@@ -73,8 +74,8 @@
 void FleetSimulation::Start(int host) {
   auto& state = *m_hosts[static_cast<std::size_t>(host)];
   state.core = std::make_unique<FleetCore>(
-      FleetSettings{state.name, state.name + ":9", state.name + ":8", "z",
-                    "config", "endpoints"},
+      FleetSettings{state.name, state.name + ":9", state.name + ":8",
+                    "z" + std::to_string(host % kZones), "config", "endpoints"},
       &m_codec, &clock, &random, &state.counters);
   state.directory.reset();
 }
@@ -195,6 +196,9 @@
 
 void FleetSimulation::Execute(int host, const Action& action) {
   auto& state = *m_hosts[static_cast<std::size_t>(host)];
+  store_calls += std::holds_alternative<ReadTable>(action) ||
+                 std::holds_alternative<FollowTable>(action) ||
+                 std::holds_alternative<WriteRow>(action);
   if (const auto* read = std::get_if<ReadTable>(&action)) {
     TableRead event{
         read->table, StoreStatus::kUnknown, {}, m_version, StoreNow()};
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -69,6 +69,8 @@
   bool primary_partly_unreachable = false;
   std::vector<std::string> violations;
   int promotions = 0;
+  // Calls of all hosts to the store.
+  int store_calls = 0;
   // Requests and events, with the time in milliseconds.
   std::vector<std::string> trace;
   std::string TraceText() const;
