Send no large copies unasked; probe pooled primaries on demand; less work per seat change

Change: copies above 64 KiB are announced; the host reads the store itself and asks for the copy only if the store does not answer it. Calls that wait for large answers get 5 s. Primaries behind shared pools are probed only while callers read from the group, at 0.75 of the least staleness. Seat rows are parsed only when changed, ranks computed only when the holders change.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -19,6 +19,10 @@
 // Minimum time before a table is sent to the same host again. Repeating is
 // necessary because a copy may be lost.
 constexpr Milliseconds kTableCopyInterval{400};
+// Large copies are sent to one host at a time, and a host that cannot reach the
+// store asks for one at this interval.
+constexpr Milliseconds kLargeCopyInterval{2'000};
+constexpr Milliseconds kFetchInterval{3'000};
 // Time for missed changes to arrive after the store is reachable again.
 constexpr Milliseconds kTablesCurrentDelay{400};
 
@@ -156,14 +160,17 @@
   for (const auto& item : digest.tables) {
     auto* follower = FollowerOf(item.table);
     if (follower == nullptr) continue;
-    newer |= item.version > follower->ContentVersion();
+    if (item.version > follower->ContentVersion()) {
+      if (item.large) GetLargeChange(envelope.from_address, follower);
+      newer |= !item.large;
+    }
     if (!follower->Loaded() || item.version >= follower->ContentVersion())
       continue;
     auto& sent_at =
         m_table_copy_sent_at[envelope.from_address + "/" + item.table];
     if (m_clock->Now() - sent_at < kTableCopyInterval) continue;
     sent_at = m_clock->Now();
-    SendCopy(envelope.from_address, *follower, item.version);
+    SendCopy(envelope.from_address, *follower, item.version, digest.fetch);
   }
   // The sender of an answer has the versions of this host already.
   if (newer && !digest.answer) {
@@ -175,11 +182,35 @@
 }
 
 void FleetCore::SendCopy(const std::string& address,
-                         const TableFollower& follower, RowVersion since) {
+                         const TableFollower& follower, RowVersion since,
+                         bool fetch) {
+  if (follower.IsLargeSince(since)) {
+    const auto now = m_clock->Now();
+    if (!fetch || now < m_next_large_copy_at) {
+      peer::TableDigest notice;
+      notice.tables.push_back(follower.Digest());
+      notice.tables.back().large = true;
+      m_counters->Add("table_copies_too_large");
+      m_actions.push_back(SendPeer{address, std::move(notice)});
+      return;
+    }
+    m_next_large_copy_at = now + kLargeCopyInterval;
+  }
   m_counters->Add("table_copies_sent");
   m_actions.push_back(SendPeer{address, follower.CopySince(since)});
 }
 
+void FleetCore::GetLargeChange(const std::string& address,
+                               TableFollower* follower) {
+  if (!follower->Failing()) return follower->RequestLargeCall();
+  if (m_clock->Now() < m_next_fetch_at) return;
+  m_next_fetch_at = m_clock->Now() + kFetchInterval;
+  peer::TableDigest request;
+  request.fetch = true;
+  request.tables.push_back(follower->Digest());
+  m_actions.push_back(SendPeer{address, std::move(request)});
+}
+
 void FleetCore::SendDigest(const std::string& address, peer::TableDigest digest,
                            bool with_seats) {
   for (const auto* follower : Followers()) {
@@ -237,6 +268,10 @@
 
 void FleetCore::OnSeatsChanged() {
   PublishSeats();
+  if (!m_published_seats || m_published_seats->holders == m_ranked_holders) {
+    return;
+  }
+  m_ranked_holders = m_published_seats->holders;
   for (auto& [group, rank] : m_host_ranks) rank = m_seats.HostRank(group);
 }
 
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -57,8 +57,13 @@
   void PublishSeats();
   // Called when the host's seats or their holders may have changed.
   void OnSeatsChanged();
+  // Sends the changes since a version or, if they are large, only the newer
+  // version.
   void SendCopy(const std::string& address, const TableFollower& follower,
-                RowVersion since);
+                RowVersion since, bool fetch);
+  // Gets a large change from the store or, if it does not answer this host,
+  // from the host that has it.
+  void GetLargeChange(const std::string& address, TableFollower* follower);
   void SendDigest(const std::string& address, peer::TableDigest digest,
                   bool with_seats);
   void SendDigests();
@@ -94,8 +99,9 @@
   Instant m_tables_current_from{};
   // The view last published.
   std::optional<limits::SeatView> m_published_seats;
-  // Rank of this host in the order of each group.
+  // Rank of this host in the order of each group, among these holders of seats.
   std::map<GroupId, std::size_t> m_host_ranks;
+  std::vector<HostId> m_ranked_holders;
   const Instant m_started_at;
   // No host had a seat when this host first read the table.
   bool m_first_start = true;
@@ -127,6 +133,8 @@
   Instant m_reader_until{};
   // Key: address of the receiving host, "/", name of the table.
   std::map<std::string, Instant> m_table_copy_sent_at;
+  Instant m_next_large_copy_at{};
+  Instant m_next_fetch_at{};
   std::vector<Action> m_actions;
 };
 
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -70,8 +70,11 @@
                            PeerReceived, relay::PrimaryHealth, relay::AdminDone,
                            relay::SendShare, TimerFired>;
 
+// `answer_limit` is the time in which the answer has to arrive, beyond the wait
+// that a call requests.
 struct ReadTable {
   std::string table;
+  Milliseconds answer_limit{1'200};
 };
 // Long poll: answered as soon as a row changes after version `after`, or when
 // `wait` has elapsed.
@@ -79,6 +82,7 @@
   std::string table;
   RowVersion after = 0;
   Milliseconds wait{0};
+  Milliseconds answer_limit{1'200};
 };
 struct WriteRow {
   CallId call = 0;
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -160,6 +160,10 @@
   // were never used.
   for (const auto& [key, row] : rows) {
     const auto number = SeatOfKey(key);
+    if (number && *number < m_seats.size() &&
+        row.version <= m_seats[*number].version) {
+      continue;
+    }
     const auto json = ParseJson(row.value);
     if (!number || !json) {
       log::Event(log::Channel::kMembership, log::Level::kWarn,
@@ -168,7 +172,6 @@
     }
     if (*number >= m_seats.size()) m_seats.resize(*number + 1);
     auto& seat = m_seats[*number];
-    if (row.version <= seat.version) continue;
     seat = {};
     seat.version = row.version;
     if (!json) continue;
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -19,9 +19,22 @@
 // such hosts call at the same time, and refused calls are a load as well.
 constexpr Milliseconds kProbeInterval{1'200};
 constexpr int kMaxProbeDoublings = 2;
+// Time for an answer of the store, and the same for an answer that is large or
+// when the last call failed: a configuration of many routes needs seconds over
+// a slow link.
+constexpr Milliseconds kAnswerLimit{1'200};
+constexpr Milliseconds kLargeAnswerLimit{5'000};
+// A reader sends a copy to all its subscribers over one link, which callers'
+// requests use as well.
+constexpr std::size_t kMaxCopyBytes = 64 << 10;
 
 }  // namespace
 
+void TableFollower::RequestLargeCall() {
+  RequestCall();
+  m_large_expected = true;
+}
+
 void TableFollower::SetMode(FollowMode mode, Milliseconds interval) {
   m_interval = interval;
   if (mode == m_mode) return;
@@ -50,9 +63,12 @@
   m_call_requested = false;
   m_call_outstanding = true;
   m_last_call_at = now;
-  if (m_read_needed) return ReadTable{m_table};
+  const auto answer_limit = m_large_expected || waits || m_failures > 0
+                                ? kLargeAnswerLimit
+                                : kAnswerLimit;
+  if (m_read_needed) return ReadTable{m_table, answer_limit};
   return FollowTable{m_table, m_store_version,
-                     waits ? kFollowWait : Milliseconds{0}};
+                     waits ? kFollowWait : Milliseconds{0}, answer_limit};
 }
 
 bool TableFollower::RecordFailure(StoreStatus status) {
@@ -77,6 +93,7 @@
                {{"table", m_table}});
   }
   m_failures = 0;
+  m_large_expected = false;
   m_complete_at = std::max(m_complete_at, now);
   m_last_answer_at = m_clock->Now();
   m_next_call_at = m_clock->Now() +
@@ -139,9 +156,18 @@
   return changed;
 }
 
+bool TableFollower::IsLargeSince(RowVersion version) const {
+  const bool whole = version < m_deletions_known_from;
+  std::size_t bytes = 0;
+  for (const auto& [key, row] : m_rows) {
+    if (whole || row.version > version) bytes += row.value.size();
+  }
+  return bytes > kMaxCopyBytes;
+}
+
 peer::TableDigest::Item TableFollower::Digest() const {
   return {m_table, m_content_version, m_store_version,
-          static_cast<std::uint64_t>(m_complete_at.count())};
+          static_cast<std::uint64_t>(m_complete_at.count()), false};
 }
 
 peer::TableCopy TableFollower::CopySince(RowVersion version) const {
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -49,12 +49,17 @@
   // Makes one call without waiting, also while paused, unless one is in
   // progress.
   void RequestCall() { m_call_requested = !m_call_outstanding; }
+  // The same for a change that is known to be large.
+  void RequestLargeCall();
   // The next call to make, if one is due.
   std::optional<Action> NextCall();
   // Both return true if the content changed.
   bool Handle(const TableRead& event);
   bool Handle(const TableChanged& event);
 
+  // True if a copy of the changes since `version` is too large to be sent to
+  // many hosts.
+  bool IsLargeSince(RowVersion version) const;
   peer::TableDigest::Item Digest() const;
   // The rows that changed after `version`, or the whole table if deletions
   // since then are not known.
@@ -84,6 +89,7 @@
   bool m_loaded = false;
   bool m_call_outstanding = false;
   bool m_call_requested = false;
+  bool m_large_expected = false;
   bool m_read_needed = true;
   // Store version up to which changes have been applied.
   RowVersion m_store_version = 0;
--- a/Source/Fleet/table_sources.cc
+++ b/Source/Fleet/table_sources.cc
@@ -187,7 +187,7 @@
     if (!subscriber.wants_changes) continue;
     auto& version = subscriber.versions[follower.Table()];
     if (version >= follower.ContentVersion()) continue;
-    SendCopy(address, follower, version);
+    SendCopy(address, follower, version, false);
     version = follower.ContentVersion();
   }
 }
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -204,8 +204,10 @@
     entry["version"] = JsonUint(item.version);
     entry["complete_to"] = JsonUint(item.complete_to);
     entry["complete_at"] = JsonUint(item.complete_at_ms);
+    if (item.large) entry["large"] = true;
     (*out)["tables"].append(std::move(entry));
   }
+  if (message.fetch) (*out)["fetch"] = true;
   if (message.query) (*out)["query"] = true;
   if (message.subscribe) (*out)["subscribe"] = true;
   if (message.answer) (*out)["answer"] = true;
@@ -215,8 +217,10 @@
   for (const auto& item : json["tables"]) {
     message->tables.push_back({StringOr(item, "table"), UintOr(item, "version"),
                                UintOr(item, "complete_to"),
-                               UintOr(item, "complete_at")});
+                               UintOr(item, "complete_at"),
+                               BoolOr(item, "large")});
   }
+  message->fetch = BoolOr(json, "fetch");
   message->query = BoolOr(json, "query");
   message->subscribe = BoolOr(json, "subscribe");
   message->answer = BoolOr(json, "answer");
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -108,8 +108,13 @@
     // time on the store's clock; 0 if the sender does not know.
     std::uint64_t complete_to = 0;
     std::uint64_t complete_at_ms = 0;
+    // The copy is too large to be sent to many hosts. A receiver that lacks it
+    // reads the platform's table instead.
+    bool large = false;
   };
   std::vector<Item> tables;
+  // The sender cannot reach the platform and asks for large copies as well.
+  bool fetch = false;
   // The sender does not read the store itself and asks for an answer.
   bool query = false;
   // With `query`: changes are to be sent as soon as the receiver has them.
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -14,9 +14,13 @@
 
 // A primary whose newest watermark is older than this is probed with a BEGIN.
 constexpr Milliseconds kProbeInterval{400};
-// Longer for groups behind shared pools: many hosts with little traffic each
-// would probe, and the pools detect an unresponsive primary sooner.
+// Behind shared pools there are many hosts with little traffic each, and the
+// pools detect an unresponsive primary sooner. A host probes a primary only
+// while callers read from its group, and only before its newest watermark
+// becomes too old for these reads.
 constexpr Milliseconds kPooledProbeInterval{800};
+constexpr double kPooledProbeStalenessShare = 0.75;
+constexpr Milliseconds kPooledProbeDemand{2'000};
 // A primary that has not answered for longer than this is reported to the
 // control thread, repeatedly.
 constexpr Milliseconds kMinReportedSilence{250};
@@ -47,6 +51,14 @@
 // sessions reconnect to other hosts.
 constexpr Milliseconds kCutOffCloseAfter{2300};
 
+// `staleness` is the least staleness that a route of the group allows; 0 if
+// there is no such route.
+Duration PooledProbeInterval(Milliseconds staleness) {
+  return std::max<Duration>(kPooledProbeInterval,
+                            std::chrono::duration_cast<Duration>(
+                                staleness * kPooledProbeStalenessShare));
+}
+
 }  // namespace
 
 RelayCore::RelayCore(RelaySettings settings, const Clock* clock, Random* random,
@@ -138,7 +150,15 @@
   std::erase_if(m_health, gone);
   std::erase_if(m_leaving_since, gone);
   std::erase_if(m_pool_silence, gone);
+  std::map<GroupId, Milliseconds> staleness;
+  for (const auto& [database, route] : m_directory->routes) {
+    if (route.kind == RouteKind::kPrimary) continue;
+    const auto least =
+        staleness.try_emplace(route.group, route.max_staleness).first;
+    least->second = std::min(least->second, route.max_staleness);
+  }
   for (const auto& [name, group] : m_directory->groups) {
+    m_groups[name].staleness = staleness[name];
     HandlePrimaryChange(old, group);
     DispatchWaiting(name);
   }
@@ -296,8 +316,10 @@
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
     const auto newest = state.watermarks.NewestTime();
-    const auto interval =
-        IsPooled(name) ? kPooledProbeInterval : kProbeInterval;
+    const bool pooled = IsPooled(name);
+    if (pooled && Now() - state.last_read > kPooledProbeDemand) continue;
+    const Duration interval =
+        pooled ? PooledProbeInterval(state.staleness) : kProbeInterval;
     const bool fresh = newest && Now() - *newest < interval;
     if (fresh || Now() < state.probe_after) continue;
     state.probe_after = Now() + interval / 2;
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -145,6 +145,10 @@
   // that it does not answer.
   Instant held_until{};
   Instant probe_after{};
+  // When a caller last read from the group, and the least staleness that one of
+  // its routes allows; 0 if there is no such route.
+  Instant last_read{};
+  Milliseconds staleness{0};
   Instant last_write_answer{};
   Instant last_report{};  // last PrimaryHealth report
   bool reported_silent = false;
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -74,6 +74,7 @@
     request.pending_connection = 0;
   }
   if (NeedsPrimary(*session)) return DispatchToPrimary(session);
+  m_groups[session->route.group].last_read = Now();
   const auto needed = NeededPosition(*session);
   if (needed && DispatchRead(session, *needed)) return true;
   // Without a recent watermark, or a usable replica that holds the required
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -483,7 +483,12 @@
   std::erase_if(m_silence_reported, is_unlisted);
 }
 
-void SharedPool::On(const SeatsChanged& event) { m_seats = event.seats; }
+void SharedPool::On(const SeatsChanged& event) {
+  m_hosts_by_zone.clear();
+  for (const int seat : event.seats.CountedSeats()) {
+    ++m_hosts_by_zone[event.seats.zones[static_cast<std::size_t>(seat)]];
+  }
+}
 
 void SharedPool::On(const DrainStarted&) {
   m_draining = true;
@@ -536,10 +541,7 @@
 }
 
 void SharedPool::TrimIdle() {
-  std::map<ZoneId, std::size_t> hosts;
-  for (const int seat : m_seats.CountedSeats()) {
-    ++hosts[m_seats.zones[static_cast<std::size_t>(seat)]];
-  }
+  const auto& hosts = m_hosts_by_zone;
   std::map<EndpointId, std::size_t> kept;
   std::vector<ConnectionId> surplus;
   for (const auto* connection : IdleNewestFirst(m_connections)) {
--- a/Source/Relay/shared_pool.h
+++ b/Source/Relay/shared_pool.h
@@ -102,7 +102,8 @@
   const Clock* const m_clock;
   Counters* const m_counters;
   DirectoryPtr m_directory;
-  limits::SeatView m_seats;
+  // Number of hosts with a counted seat.
+  std::map<ZoneId, std::size_t> m_hosts_by_zone;
   std::map<SessionId, PoolSession> m_sessions;
   std::map<ConnectionId, Connection> m_connections;
   std::map<EndpointId, EndpointHealth> m_health;
