Hosts far down the order of a group wait longer before they read claims; tests of large copies and probes

Change: 250 ms more for each rank beyond the eighth, up to 32; a fetch is not subject to the interval. Tests that replay a large configuration, hosts that the store turns away, a failover in a large fleet and probes without reads.

--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -168,7 +168,8 @@
       continue;
     auto& sent_at =
         m_table_copy_sent_at[envelope.from_address + "/" + item.table];
-    if (m_clock->Now() - sent_at < kTableCopyInterval) continue;
+    if (!digest.fetch && m_clock->Now() - sent_at < kTableCopyInterval)
+      continue;
     sent_at = m_clock->Now();
     SendCopy(envelope.from_address, *follower, item.version, digest.fetch);
   }
@@ -202,8 +203,8 @@
 
 void FleetCore::GetLargeChange(const std::string& address,
                                TableFollower* follower) {
-  if (!follower->Failing()) return follower->RequestLargeCall();
-  if (m_clock->Now() < m_next_fetch_at) return;
+  follower->RequestLargeCall();
+  if (!follower->Failing() || m_clock->Now() < m_next_fetch_at) return;
   m_next_fetch_at = m_clock->Now() + kFetchInterval;
   peer::TableDigest request;
   request.fetch = true;
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -16,7 +16,12 @@
 // Hosts wait for this time multiplied by their rank, so that usually only one
 // of them claims the group.
 constexpr Milliseconds kHostRankDelay{70};
-constexpr std::size_t kMaxHostRank = 8;
+constexpr std::size_t kNearHosts = 8;
+// Hosts that come after these wait longer for each rank. In a large fleet all
+// of them would otherwise read the claims at the same moment, although one of
+// the first almost always acts.
+constexpr Milliseconds kFarHostRankDelay{250};
+constexpr std::size_t kMaxFarHosts = 32;
 // Time for reports to arrive before a primary is promoted in a group that has
 // none.
 constexpr Milliseconds kNoPrimaryGracePeriod{500};
@@ -44,6 +49,12 @@
 constexpr Milliseconds kMissingReplicaTimeout{10'000};
 // After this time a healthy primary has sent its log to the other replicas.
 constexpr Milliseconds kReplicaCatchUpTime{2'000};
+Duration RankDelay(std::size_t host_rank) {
+  const auto near = std::min(host_rank, kNearHosts);
+  const auto far = std::min(host_rank - near, kMaxFarHosts);
+  return kHostRankDelay * near + kFarHostRankDelay * far;
+}
+
 constexpr char kReasonLeaving[] = "leaving";
 constexpr char kReasonNoPrimary[] = "no_primary";
 constexpr char kReasonSilent[] = "silent";
@@ -132,9 +143,8 @@
   for (const auto& [group, row] : m_directory->groups) {
     auto& job = m_jobs[group];
     const auto found_rank = host_ranks.find(group);
-    const std::size_t host_rank = std::min(
-        found_rank == host_ranks.end() ? kMaxHostRank : found_rank->second,
-        kMaxHostRank);
+    const std::size_t host_rank =
+        found_rank == host_ranks.end() ? kNearHosts : found_rank->second;
     if (job.stage != Stage::kPromoting) TrackPrimary(group, &job, host_rank);
     if (job.stage == Stage::kIdle) {
       MaybeStartFailover(group, &job, host_rank);
@@ -202,7 +212,7 @@
     grace = job->known_primary.empty() ? kFirstPrimaryGracePeriod
                                        : kNoPrimaryGracePeriod;
   }
-  const auto start = job->suspected_since + grace + kHostRankDelay * host_rank;
+  const auto start = job->suspected_since + grace + RankDelay(host_rank);
   if (now < start || now < job->next_attempt_at || m_reading_claims ||
       !m_tables_current)
     return;
--- a/Source/UnitTests/Fleet/table_sources_test.cc
+++ b/Source/UnitTests/Fleet/table_sources_test.cc
@@ -129,6 +129,44 @@
   }
 }
 
+// Load pattern: the configuration grows to 1,700 routes. Readers that sent it
+// to each host that was behind, again at each query, filled their links for
+// seconds, and callers' requests were not answered.
+TEST(LargeFleet, LargeConfigurationIsReadFromTheStore) {
+  constexpr std::size_t kBytes = 300'000;
+  FleetSimulation simulation(kHosts, 3, 8);
+  simulation.Run(seconds(20));
+  simulation.copied_bytes = 0;
+  simulation.SetConfig(9, kBytes);
+  simulation.Run(seconds(2));
+  EXPECT_TRUE(HostsBehind(simulation, 9, {}).empty());
+  EXPECT_LT(simulation.copied_bytes, kBytes);
+}
+
+TEST(LargeFleet, LargeConfigurationReachesHostsThatTheStoreTurnsAway) {
+  constexpr std::size_t kBytes = 300'000;
+  FleetSimulation simulation(kHosts, 3, 9);
+  simulation.Run(seconds(20));
+  simulation.cut_off_from_store = {4, 17, 30};
+  simulation.copied_bytes = 0;
+  simulation.SetConfig(9, kBytes);
+  simulation.Run(seconds(6));
+  EXPECT_TRUE(HostsBehind(simulation, 9, {}).empty());
+  EXPECT_LT(simulation.copied_bytes, 7 * kBytes);
+}
+
+// Load pattern: a primary fails in a fleet of many hosts. All hosts beyond the
+// first eight in the group's order read the claims at the same moment.
+TEST(StoreCalls, AreFewDuringAFailover) {
+  FleetSimulation simulation(kHosts, 3, 10);
+  simulation.Run(seconds(22));
+  simulation.Endpoints()[simulation.PrimaryId()].alive = false;
+  simulation.store_calls = 0;
+  simulation.Run(seconds(4));
+  EXPECT_EQ(simulation.promotions, 1);
+  EXPECT_LT(simulation.store_calls, kHosts);
+}
+
 TEST(LargeFleet, EveryHostHasACountedSeatBeforeTrafficStarts) {
   FleetSimulation simulation(kHosts, 3, 4);
   simulation.Run(seconds(10));
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -85,8 +85,9 @@
   Start(host);
 }
 
-void FleetSimulation::SetConfig(std::uint64_t version) {
-  PutRow("config", "config", std::to_string(version));
+void FleetSimulation::SetConfig(std::uint64_t version, std::size_t padding) {
+  PutRow("config", "config",
+         std::to_string(version) + std::string(padding, ' '));
 }
 
 void FleetSimulation::WriteEndpointRow(const EndpointId& id) {
@@ -241,6 +242,10 @@
   } else if (const auto* order = std::get_if<relay::AdminRequest>(&action)) {
     Deliver(host, HandleAdmin(host, *order));
   } else if (const auto* peer = std::get_if<SendPeer>(&action)) {
+    const auto* copy = std::get_if<peer::TableCopy>(&peer->message);
+    if (copy != nullptr && copy->table == "config") {
+      for (const auto& row : copy->rows) copied_bytes += row.value.size();
+    }
     for (int i = 0; i < HostCount(); ++i) {
       if (m_hosts[static_cast<std::size_t>(i)]->name + ":9" != peer->address) {
         continue;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -45,7 +45,8 @@
 
   // Runs for `duration` in steps of one tick.
   void Run(Milliseconds duration);
-  void SetConfig(std::uint64_t version);
+  // `padding` bytes make the configuration larger.
+  void SetConfig(std::uint64_t version, std::size_t padding = 0);
   void WriteEndpointRow(const EndpointId& id);
 
   int HostCount() const { return static_cast<int>(m_hosts.size()); }
@@ -71,6 +72,8 @@
   int promotions = 0;
   // Calls of all hosts to the store.
   int store_calls = 0;
+  // Bytes of the configurations that hosts have sent to each other.
+  std::size_t copied_bytes = 0;
   // Requests and events, with the time in milliseconds.
   std::vector<std::string> trace;
   std::string TraceText() const;
