--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -61,7 +61,8 @@
   std::size_t seat = 0;
   const auto* end = key.data() + key.size();
   const auto parsed = std::from_chars(key.data(), end, seat);
-  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == end;
+  if (!valid) return std::nullopt;
   if (seat >= kMaxSeats) return std::nullopt;
   return seat;
 }
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -118,8 +118,8 @@
     std::vector<int> home_seats;  // all seats that share the limit
     // Value of m_counted_version when the home seats were ranked.
     std::uint64_t ranked_from = 0;
-    std::vector<int> held;        // home seats held by this host
-    MicroTokens level = 0;        // 0 <= level, level + reserved <= cap
+    std::vector<int> held;  // home seats held by this host
+    MicroTokens level = 0;  // 0 <= level, level + reserved <= cap
     MicroTokens cap = 0;
     // Part of the cap that new seats added and that is withheld until
     // `withheld_until`: tokens lent by the seats' previous holder may still be
