Move the exchange of tables out of the fleet core; one copy of three rules

Change: TableReplication (versions, copies, readers) and its sources and subscribers; FleetCore keeps what the content means. Apply ignores older rows and rows older than their deletion, in copies as well. SeatTable::AddressOf. A requested call is no longer forgotten when another request comes while a call is in progress. Choosing modes is split by role. Not changed: the constants at the head of table_sources.cc, which look like two other lists of named constants; cell_run.cc, which this work did not touch.

--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -110,7 +110,7 @@
 std::optional<Action> SeatTable::NextCall(CallId* next_call) {
   const auto now = m_clock->Now();
   if (!m_loaded || m_call != 0 || now < m_next_renew_at) return std::nullopt;
-  if (!m_held_seat && NeedsCurrentRows()) return std::nullopt;
+  if (NeedsCurrentRows()) return std::nullopt;
   m_call = (*next_call)++;
   m_call_seat = m_held_seat ? *m_held_seat : ChooseSeat();
   m_call_row = RenewedRow(m_call_seat);
@@ -153,9 +153,7 @@
   m_complete_at = std::max(m_complete_at, complete_at);
 }
 
-bool SeatTable::Update(const std::map<std::string, Row>& rows,
-                       StoreTime complete_at) {
-  Confirm(complete_at);
+void SeatTable::Update(const std::map<std::string, Row>& rows) {
   const auto now = m_clock->Now();
   // Rows are never removed, so a seat keeps its number. Numbers without a row
   // were never used.
@@ -202,7 +200,6 @@
     m_held_seat.reset();
     m_next_renew_at = now;
   }
-  return true;
 }
 
 // A row with this host's name was written by its earlier process, or by a write
@@ -304,16 +301,26 @@
   return view;
 }
 
+bool SeatTable::IsPeer(const Seat& seat) const {
+  return !seat.host.empty() && seat.host != m_self.host &&
+         seat.renewed_at + kLease >= m_complete_at;
+}
+
 std::vector<FleetHost> SeatTable::Peers() const {
   std::vector<FleetHost> peers;
   for (const auto& seat : m_seats) {
-    if (seat.host.empty() || seat.host == m_self.host) continue;
-    if (seat.renewed_at + kLease < m_complete_at) continue;
-    peers.push_back({seat.host, seat.address, seat.zone});
+    if (IsPeer(seat)) peers.push_back({seat.host, seat.address, seat.zone});
   }
   return peers;
 }
 
+std::optional<std::string> SeatTable::AddressOf(const HostId& host) const {
+  for (const auto& seat : m_seats) {
+    if (seat.host == host && IsPeer(seat)) return seat.address;
+  }
+  return std::nullopt;
+}
+
 std::size_t SeatTable::HostRank(const std::string& name) const {
   const auto weight = [&](const std::string& host) {
     return StableHash(name + "/" + host);
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -46,10 +46,9 @@
 
   // Returns the next write that is due. At most one is outstanding.
   std::optional<Action> NextCall(CallId* next_call);
-  // Applies the rows of the seat table, which were complete at `complete_at`.
-  // Returns true if the view changed.
-  bool Update(const std::map<std::string, Row>& rows, StoreTime complete_at);
-  // Records an answer of the store without changed rows.
+  // Applies the rows of the seat table.
+  void Update(const std::map<std::string, Row>& rows);
+  // Records that the rows were complete at this time.
   void Confirm(StoreTime complete_at);
   // Records the store's time in an answer to a request that was sent at
   // `requested_at`.
@@ -59,8 +58,6 @@
   // True if the table has to be read before a seat is taken, so that the host
   // does not choose one that another host has just taken.
   bool NeedsCurrentRows() const;
-  // True once rows of the table have been received.
-  bool Loaded() const { return m_loaded; }
   bool OwnsCall(CallId call) const { return m_call == call && call != 0; }
   // True if the set of counted seats has changed since the last call of View.
   bool CountedSeatsChanged() const;
@@ -68,6 +65,8 @@
   limits::SeatView View();
   // Returns the other hosts that hold a seat with a lease that has not expired.
   std::vector<FleetHost> Peers() const;
+  // The address of one of these hosts; nullopt if it holds no seat.
+  std::optional<std::string> AddressOf(const HostId& host) const;
   // Returns the rank of this host in an order of all hosts that depends only on
   // `name`. The rank is in [0, number of hosts).
   std::size_t HostRank(const std::string& name) const;
@@ -86,6 +85,7 @@
     RowVersion version = 0;
   };
   std::size_t ChooseSeat() const;
+  bool IsPeer(const Seat& seat) const;
   std::string Encode(const Seat& seat) const;
   Seat RenewedRow(std::size_t seat) const;
   void AdoptOwnSeat();
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -100,7 +100,15 @@
                    (m_mode == FollowMode::kProbe ? kProbeInterval : m_interval);
 }
 
-void TableFollower::Apply(const Row& row) {
+bool TableFollower::Apply(const Row& row) {
+  const auto known = m_rows.find(row.key);
+  if (known != m_rows.end() && known->second.version >= row.version) {
+    return false;
+  }
+  const auto deletion = m_deletions.find(row.key);
+  if (deletion != m_deletions.end() && deletion->second >= row.version) {
+    return false;
+  }
   m_content_version = std::max(m_content_version, row.version);
   if (row.deleted) {
     m_rows.erase(row.key);
@@ -109,6 +117,7 @@
     m_rows[row.key] = row;
     m_deletions.erase(row.key);
   }
+  return true;
 }
 
 bool TableFollower::Handle(const TableRead& event) {
@@ -143,16 +152,7 @@
   RecordSuccess(event.now);
   m_store_version = std::max(m_store_version, event.version);
   bool changed = false;
-  for (const auto& row : event.rows) {
-    const auto it = m_rows.find(row.key);
-    if (it != m_rows.end() && it->second.version >= row.version) continue;
-    const auto deletion = m_deletions.find(row.key);
-    if (deletion != m_deletions.end() && deletion->second >= row.version) {
-      continue;
-    }
-    Apply(row);
-    changed = true;
-  }
+  for (const auto& row : event.rows) changed |= Apply(row);
   return changed;
 }
 
@@ -201,8 +201,6 @@
     m_deletions_known_from = copy.version;
   }
   for (const auto& row : copy.rows) {
-    const auto it = m_rows.find(row.key);
-    if (it != m_rows.end() && it->second.version >= row.version) continue;
     Apply({row.key, row.value, row.version, row.deleted});
   }
   m_content_version = copy.version;
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -48,7 +48,7 @@
   void SetMode(FollowMode mode, Milliseconds interval = Milliseconds{0});
   // Makes one call without waiting, also while paused, unless one is in
   // progress.
-  void RequestCall() { m_call_requested = !m_call_outstanding; }
+  void RequestCall() { m_call_requested |= !m_call_outstanding; }
   // The same for a change that is known to be large.
   void RequestLargeCall();
   // The next call to make, if one is due.
@@ -74,7 +74,9 @@
  private:
   bool RecordFailure(StoreStatus status);
   void RecordSuccess(StoreTime now);
-  void Apply(const Row& row);
+  // Applies a row unless a newer one, or its deletion, is known. Returns true
+  // if it was applied.
+  bool Apply(const Row& row);
 
   const std::string m_table;
   const Clock* const m_clock;
--- a/Source/Fleet/table_sources.cc
+++ b/Source/Fleet/table_sources.cc
@@ -1,18 +1,11 @@
-// Fleet core: which tables this host reads from the store, and how it gets
-// changes from other hosts when it does not.
-//
-// A host that is not a reader asks two readers for their versions at a fixed
-// interval. An answer is a confirmation if its sender reaches the store.
-// Without a recent confirmation the host checks the store itself, so a
-// configuration reaches it within the same time as if its readers were gone. A
-// host that is asked becomes a reader, whether or not it chose itself: views of
-// the fleet may differ for a while.
+// Table replication: which hosts read the store, and how the others get changes
+// from them.
 #include <algorithm>
 #include <set>
 #include <utility>
 
 #include "Common/log.h"
-#include "Fleet/fleet_core.h"
+#include "Fleet/table_replication.h"
 
 namespace tiller::fleet {
 namespace {
@@ -41,11 +34,11 @@
 
 }  // namespace
 
-bool FleetCore::ReadsStore() const {
+bool TableReplication::ReadsStore() const {
   return m_plan.reads_store || m_clock->Now() < m_reader_until;
 }
 
-bool FleetCore::SourceConfirmed() const {
+bool TableReplication::SourceConfirmed() const {
   const auto oldest = m_clock->Now() - kSourceTimeout;
   return std::any_of(
       m_plan.sources.begin(), m_plan.sources.end(), [&](const FleetHost& host) {
@@ -54,7 +47,11 @@
       });
 }
 
-void FleetCore::AvoidSilentSources() {
+bool TableReplication::SourcesLost() const {
+  return m_clock->Now() - m_unconfirmed_since >= kSourceTimeout;
+}
+
+void TableReplication::AvoidSilentSources() {
   const auto now = m_clock->Now();
   std::erase_if(m_avoided,
                 [&](const auto& item) { return item.second <= now; });
@@ -72,7 +69,7 @@
   }
 }
 
-void FleetCore::UpdatePlan() {
+void TableReplication::UpdatePlan() {
   const auto now = m_clock->Now();
   if (now < m_next_plan_at) return;
   m_next_plan_at = now + kPlanInterval;
@@ -83,54 +80,66 @@
   }
   std::set<std::string> avoided;
   for (const auto& [host, until] : m_avoided) avoided.insert(host);
-  m_plan = ChooseReaders({m_settings.host, m_settings.address, m_settings.zone},
-                         m_seats.Peers(), avoided);
+  m_plan = ChooseReaders(m_self, m_seats->Peers(), avoided);
 }
 
-void FleetCore::UpdateFollowModes() {
+void TableReplication::UpdateFollowModes() {
   const auto now = m_clock->Now();
-  AvoidSilentSources();
-  UpdatePlan();
   std::erase_if(m_subscribers,
                 [&](const auto& item) { return item.second.until <= now; });
+  AvoidSilentSources();
+  UpdatePlan();
+  UpdateReaderRole();
+  if (m_reads_since) {
+    FollowStore();
+  } else {
+    FollowSources();
+  }
+}
+
+void TableReplication::UpdateReaderRole() {
+  const auto now = m_clock->Now();
   if (SourceConfirmed()) m_unconfirmed_since = now;
-  // The store answers this host although no source reaches it.
-  if (!m_plan.reads_store && now - m_unconfirmed_since >= kSourceTimeout &&
-      m_operator_table.LastAnswerTime() > m_unconfirmed_since) {
+  const bool store_answers =
+      m_operator_table.LastAnswerTime() > m_unconfirmed_since;
+  if (!m_plan.reads_store && SourcesLost() && store_answers) {
+    // The store answers this host although no source reaches it.
     m_reader_until = std::max(m_reader_until, now + kSubscriptionTime);
     m_unconfirmed_since = now;
   }
   const bool reads_store = ReadsStore();
-  if (reads_store != m_reads_since.has_value()) {
-    m_reads_since = reads_store ? std::optional(now) : std::nullopt;
-    m_unconfirmed_since = now;
-    log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_source",
-               {{"source", reads_store ? std::string("store")
-                                       : m_plan.sources.front().host}});
-  }
-  if (!reads_store) {
-    const bool probe = now - m_unconfirmed_since >= kSourceTimeout;
-    m_operator_table.SetMode(probe ? FollowMode::kProbe : FollowMode::kPaused);
-    m_endpoint_table.SetMode(FollowMode::kPaused);
-    m_seat_rows.SetMode(FollowMode::kPaused);
-    return;
-  }
-  const bool discovering = m_first_start && now - m_started_at < kDiscoveryTime;
+  if (reads_store == m_reads_since.has_value()) return;
+  m_reads_since = reads_store ? std::optional(now) : std::nullopt;
+  m_unconfirmed_since = now;
+  log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_source",
+             {{"source", reads_store ? std::string("store")
+                                     : m_plan.sources.front().host}});
+}
+
+void TableReplication::FollowSources() {
+  // One table is enough to find out that the store answers this host.
+  m_operator_table.SetMode(SourcesLost() ? FollowMode::kProbe
+                                         : FollowMode::kPaused);
+  m_endpoint_table.SetMode(FollowMode::kPaused);
+  m_seat_rows.SetMode(FollowMode::kPaused);
+}
+
+void TableReplication::FollowStore() {
+  const bool has_subscribers = !m_subscribers.empty();
+  const bool discovering =
+      m_first_start && m_clock->Now() - m_started_at < kDiscoveryTime;
   Milliseconds spacing{0};
-  if (discovering) {
-    spacing = kDiscoverySpacing;
-  } else if (!m_subscribers.empty()) {
-    spacing = kReaderSpacing;
-  }
+  if (has_subscribers) spacing = kReaderSpacing;
+  if (discovering) spacing = kDiscoverySpacing;
   m_operator_table.SetMode(FollowMode::kLongPoll, spacing);
   m_endpoint_table.SetMode(FollowMode::kLongPoll, spacing);
   if (discovering) return m_seat_rows.SetMode(FollowMode::kPaused);
-  m_seat_rows.SetMode(FollowMode::kInterval, m_subscribers.empty()
-                                                 ? kSeatPollInterval
-                                                 : kReaderSeatPollInterval);
+  m_seat_rows.SetMode(FollowMode::kInterval, has_subscribers
+                                                 ? kReaderSeatPollInterval
+                                                 : kSeatPollInterval);
 }
 
-void FleetCore::QuerySources() {
+void TableReplication::QuerySources() {
   const auto now = m_clock->Now();
   m_next_query_at = now + kQueryInterval;
   if (ReadsStore()) return;
@@ -145,8 +154,8 @@
   }
 }
 
-void FleetCore::OnQuery(const peer::Envelope& envelope,
-                        const peer::TableDigest& digest) {
+void TableReplication::OnQuery(const peer::Envelope& envelope,
+                               const peer::TableDigest& digest) {
   const auto now = m_clock->Now();
   auto& subscriber = m_subscribers[envelope.from_address];
   subscriber.until = now + kSubscriptionTime;
@@ -166,8 +175,8 @@
   SendDigest(envelope.from_address, std::move(answer), true);
 }
 
-void FleetCore::OnAnswer(const peer::Envelope& envelope,
-                         const peer::TableDigest& digest) {
+void TableReplication::OnAnswer(const peer::Envelope& envelope,
+                                const peer::TableDigest& digest) {
   const auto source = m_sources.find(envelope.from_address);
   if (source == m_sources.end()) return;
   source->second.asked_since.reset();
@@ -176,13 +185,13 @@
     auto* follower = FollowerOf(item.table);
     if (follower == nullptr) continue;
     follower->Confirm(item);
-    if (follower == &m_seat_rows) m_seats.Confirm(follower->CompleteAt());
   }
 }
 
 // Changes of seats are not sent at once: they come with the next answer, since
 // hosts renew their rows all the time.
-void FleetCore::NotifySubscribers(const TableFollower& follower) {
+void TableReplication::NotifySubscribers(const TableFollower& follower) {
+  if (&follower == &m_seat_rows) return;
   for (auto& [address, subscriber] : m_subscribers) {
     if (!subscriber.wants_changes) continue;
     auto& version = subscriber.versions[follower.Table()];
