--- a/review/standin/lakeshore.py
+++ b/review/standin/lakeshore.py
@@ -608,18 +608,25 @@
             pass
 
 
-def config(version, group, keys=("k1",), routes=None, tx_idle_ms=3000, max_conns=22):
+def routes(primary_group, replica_group):
+    """A route `quotes` on a primary and a route `status` that may be stale."""
+    return [
+        {"name": "r-1", "database_name": "quotes", "route_type": "primary",
+         "timeout_ms": 800, "target_latency_ms": 150, "priority": 1,
+         "service": primary_group, "public": False},
+        {"name": "r-2", "database_name": "status",
+         "route_type": "bounded_staleness", "max_staleness_ms": 1500,
+         "timeout_ms": 2000, "target_latency_ms": 500, "priority": 2,
+         "service": replica_group, "public": False}]
+
+
+def config(version, group, keys=("k1",), route_list=None, tx_idle_ms=3000, max_conns=22,
+           services=()):
     return {
         "config_version": version,
-        "routes": routes or [
-            {"name": "r-1", "database_name": "quotes", "route_type": "primary",
-             "timeout_ms": 800, "target_latency_ms": 150, "priority": 1,
-             "service": group, "public": False},
-            {"name": "r-2", "database_name": "status",
-             "route_type": "bounded_staleness", "max_staleness_ms": 1500,
-             "timeout_ms": 2000, "target_latency_ms": 500, "priority": 2,
-             "service": group, "public": False}],
-        "services": [{"name": group, "max_conns": max_conns, "sync_replicas": 1}],
+        "routes": route_list or routes(group, group),
+        "services": [{"name": name, "max_conns": max_conns, "sync_replicas": 1}
+                     for name in (group, *services)],
         "limits": {"tx_idle_ms": tx_idle_ms},
         "tenants": [{"name": "acme", "api_keys": list(keys), "rate_per_s": 200,
                      "burst": 200},
@@ -646,6 +653,11 @@
                              self.store.listen(name), self.promotions.port)
                       for i, name in enumerate(names)]
 
+    def add_group(self, name):
+        group = Group(name, self.store, self.record, ["z1", "z2", "z3"])
+        self.promotions.groups[name] = group
+        return group
+
     def start(self):
         """Starts all hosts and waits until each one serves writes."""
         for host in self.hosts:
