Judge copies of the store's tables by the store's time of completeness

Cause: a reader confirmed its copies as long as none of its calls had failed, and a long poll without an answer fails only after 15 s. Hosts that asked it took the time of its message as the time at which their copies were complete.

Change: hosts judge their copies by the time on the store's clock at which they were complete, which is part of every message already, so no host can make a copy look more recent than the store's last answer. Readers check the store when their copy is 1.0 to 1.6 s old and tell the other readers and their subscribers. Copies older than 2.4 s are stale; the host then checks the store within 0.4 s, reads it if it answers, and avoids its readers. The field `confirmed` of table digests is gone: an older host reads the store itself beside a newer reader.

Same cause: after an outage without answers, hosts of small fleets waited for the rest of their long polls. The first answer after a failure now replaces them, and the time limit of a repeated call doubles from 1.2 s to 5 s.

--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -41,6 +41,7 @@
   std::vector<Row> rows;
   RowVersion version = 0;
   StoreTime now{0};
+  CallId call = 0;  // as in ReadTable
 };
 // Rows that changed after the requested version.
 struct TableChanged {
@@ -49,6 +50,7 @@
   std::vector<Row> rows;
   RowVersion version = 0;
   StoreTime now{0};
+  CallId call = 0;  // as in FollowTable
 };
 struct RowWritten {
   CallId call = 0;
@@ -75,6 +77,7 @@
 struct ReadTable {
   std::string table;
   Milliseconds answer_limit{1'200};
+  CallId call = 0;
 };
 // Long poll: answered as soon as a row changes after version `after`, or when
 // `wait` has elapsed.
@@ -83,6 +86,7 @@
   RowVersion after = 0;
   Milliseconds wait{0};
   Milliseconds answer_limit{1'200};
+  CallId call = 0;
 };
 struct WriteRow {
   CallId call = 0;
--- a/Source/Fleet/reader_choice.cc
+++ b/Source/Fleet/reader_choice.cc
@@ -51,7 +51,14 @@
   plan.reads_store = std::any_of(
       own_readers.begin(), own_readers.end(),
       [&](const FleetHost& reader) { return reader.host == self.host; });
-  if (plan.reads_store) return plan;
+  if (plan.reads_store) {
+    for (const auto& [zone, hosts] : zones) {
+      for (const auto& reader : ReadersAmong(hosts)) {
+        if (reader.host != self.host) plan.readers.push_back(reader);
+      }
+    }
+    return plan;
+  }
   plan.sources.push_back(pick(zones.at(self.zone)));
   // The next zone in cyclic order, so that the zones do not all use the same
   // one.
--- a/Source/Fleet/reader_choice.h
+++ b/Source/Fleet/reader_choice.h
@@ -29,6 +29,8 @@
   // Hosts to get changes from, the one in this host's zone first. Empty if this
   // host reads the store.
   std::vector<FleetHost> sources;
+  // The other readers of the fleet if this host is one. Empty in a small fleet.
+  std::vector<FleetHost> readers;
 };
 
 // Chooses the readers among `self` and `others` without the hosts in `avoided`.
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -88,6 +88,11 @@
                             m_clock->Now() - m_store_time_requested_at);
 }
 
+std::optional<StoreTime> SeatTable::EstimatedStoreTime() const {
+  if (m_store_time == StoreTime{0}) return std::nullopt;
+  return StoreNow();
+}
+
 // Returns the row by which this host takes or renews `seat`.
 SeatTable::Seat SeatTable::RenewedRow(std::size_t seat) const {
   Seat row;
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -50,6 +50,9 @@
   void Update(const std::map<std::string, Row>& rows);
   // Records that the rows were complete at this time.
   void Confirm(StoreTime complete_at);
+  // The time on the store's clock, never earlier than the true time; nullopt if
+  // the store has not answered yet.
+  std::optional<StoreTime> EstimatedStoreTime() const;
   // Records the store's time in an answer to a request that was sent at
   // `requested_at`.
   void ObserveStoreTime(StoreTime now, Instant requested_at);
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -10,18 +10,21 @@
 namespace {
 
 // Long, since every poll that ends without a change is a wasted call. A dead
-// connection is detected sooner: by the probes of the client, and by other
-// hosts, which send newer copies.
+// connection is detected sooner: by the probes of the client, by checks, and by
+// other hosts, which send newer copies.
 constexpr Milliseconds kFollowWait{10'000};
 constexpr Milliseconds kInitialRetryDelay{100};
 constexpr int kMaxDoublings = 4;
 // First pause of a host that only checks whether the store answers. Hundreds of
 // such hosts call at the same time, and refused calls are a load as well.
 constexpr Milliseconds kProbeInterval{1'200};
+// The first probes of hosts that lose their sources together are spread over
+// this time. Part of the time in which a configuration must be in force.
+constexpr Milliseconds kFirstProbeSpread{400};
 constexpr int kMaxProbeDoublings = 2;
-// Time for an answer of the store, and the same for an answer that is large or
-// when the last call failed: a configuration of many routes needs seconds over
-// a slow link.
+// Time for an answer of the store, and the same for an answer that is large: a
+// configuration of many routes needs seconds over a slow link. Each failure
+// doubles the time, since it may be due to a large answer.
 constexpr Milliseconds kAnswerLimit{1'200};
 constexpr Milliseconds kLargeAnswerLimit{5'000};
 // A reader sends a copy to all its subscribers over one link, which callers'
@@ -30,6 +33,12 @@
 
 }  // namespace
 
+void TableFollower::RestartLongPoll() {
+  if (m_call == 0 || !m_call_waits) return;
+  m_call = 0;
+  m_call_requested = true;
+}
+
 void TableFollower::RequestLargeCall() {
   RequestCall();
   m_large_expected = true;
@@ -42,7 +51,7 @@
   m_next_call_at = m_clock->Now();
   if (mode == FollowMode::kProbe) {
     m_next_call_at +=
-        Milliseconds(m_random->UniformBelow(kProbeInterval.count()));
+        Milliseconds(m_random->UniformBelow(kFirstProbeSpread.count()));
   } else if (mode == FollowMode::kLongPoll) {
     m_call_requested = true;
   }
@@ -50,7 +59,7 @@
 
 std::optional<Action> TableFollower::NextCall() {
   const auto now = m_clock->Now();
-  if (m_call_outstanding) return std::nullopt;
+  if (m_call != 0) return NextCheck();
   const bool at_once = m_call_requested && m_failures == 0;
   if (!at_once && now < m_next_call_at) return std::nullopt;
   if (!m_call_requested && m_mode == FollowMode::kPaused && m_loaded) {
@@ -61,17 +70,38 @@
   const bool waits =
       m_mode == FollowMode::kLongPoll && m_failures == 0 && !m_call_requested;
   m_call_requested = false;
-  m_call_outstanding = true;
+  m_check_requested = false;
+  m_call = ++m_last_call;
+  m_call_waits = waits && !m_read_needed;
   m_last_call_at = now;
-  const auto answer_limit = m_large_expected || waits || m_failures > 0
-                                ? kLargeAnswerLimit
-                                : kAnswerLimit;
-  if (m_read_needed) return ReadTable{m_table, answer_limit};
+  const auto answer_limit =
+      m_large_expected || waits
+          ? kLargeAnswerLimit
+          : std::min(kAnswerLimit * (1 << std::min(m_failures, kMaxDoublings)),
+                     kLargeAnswerLimit);
+  if (m_read_needed) return ReadTable{m_table, answer_limit, m_call};
   return FollowTable{m_table, m_store_version,
-                     waits ? kFollowWait : Milliseconds{0}, answer_limit};
+                     waits ? kFollowWait : Milliseconds{0}, answer_limit,
+                     m_call};
+}
+
+std::optional<Action> TableFollower::NextCheck() {
+  if (!std::exchange(m_check_requested, false)) return std::nullopt;
+  if (!m_call_waits || m_check != 0) return std::nullopt;
+  m_check = ++m_last_call;
+  return FollowTable{m_table, m_store_version, Milliseconds{0}, kAnswerLimit,
+                     m_check};
+}
+
+bool TableFollower::EndCall(CallId call) {
+  if (call != m_call && call != m_check) return false;
+  (call == m_call ? m_call : m_check) = 0;
+  return true;
 }
 
 bool TableFollower::RecordFailure(StoreStatus status) {
+  // After a failed check the long poll is not worth waiting for.
+  m_call = 0;
   const bool probe = m_mode == FollowMode::kProbe;
   const int doublings =
       std::min(m_failures, probe ? kMaxProbeDoublings : kMaxDoublings);
@@ -121,8 +151,10 @@
 }
 
 bool TableFollower::Handle(const TableRead& event) {
-  m_call_outstanding = false;
-  if (event.status != StoreStatus::kDone) return RecordFailure(event.status);
+  const bool replaced = !EndCall(event.call);
+  if (event.status != StoreStatus::kDone) {
+    return !replaced && RecordFailure(event.status);
+  }
   m_read_needed = false;
   m_store_version = std::max(m_store_version, event.version);
   // A read that started before a newer copy from another host was adopted is
@@ -141,14 +173,16 @@
 }
 
 bool TableFollower::Handle(const TableChanged& event) {
-  m_call_outstanding = false;
+  const bool replaced = !EndCall(event.call);
   if (event.status == StoreStatus::kExpired) {
     m_read_needed = true;
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "history_expired",
                {{"table", m_table}});
     return false;
   }
-  if (event.status != StoreStatus::kDone) return RecordFailure(event.status);
+  if (event.status != StoreStatus::kDone) {
+    return !replaced && RecordFailure(event.status);
+  }
   RecordSuccess(event.now);
   m_store_version = std::max(m_store_version, event.version);
   bool changed = false;
@@ -211,7 +245,7 @@
 }
 
 void TableFollower::Confirm(const peer::TableDigest::Item& item) {
-  if (!m_loaded || item.version != m_content_version) return;
+  if (!m_loaded || item.version > m_content_version) return;
   m_store_version =
       std::max({m_store_version, item.complete_to, m_content_version});
   m_complete_at =
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -48,8 +48,14 @@
   void SetMode(FollowMode mode, Milliseconds interval = Milliseconds{0});
   // Makes one call without waiting, also while paused, unless one is in
   // progress.
-  void RequestCall() { m_call_requested |= !m_call_outstanding; }
-  // The same for a change that is known to be large.
+  void RequestCall() { m_call_requested |= m_call == 0; }
+  // Makes a call without waiting beside the long poll in progress, whose
+  // silence does not show whether the store still answers.
+  void RequestCheck() { m_check_requested = true; }
+  // Replaces the long poll in progress, whose answer may be lost, by a call
+  // without waiting.
+  void RestartLongPoll();
+  // Like RequestCall, for a change that is known to be large.
   void RequestLargeCall();
   // The next call to make, if one is due.
   std::optional<Action> NextCall();
@@ -67,11 +73,15 @@
   // Applies a copy from another host if it is newer than the local content or
   // nothing is loaded yet. Returns true if the content changed.
   bool Adopt(const peer::TableCopy& copy);
-  // Records that another host's copy with the same content was complete up to
-  // the given version and time of the store.
+  // Records that another host's copy, unless it is newer than the local one,
+  // was complete up to the given version and time of the store.
   void Confirm(const peer::TableDigest::Item& item);
 
  private:
+  // Ends the call or check in progress if this is its answer. Returns false for
+  // the answer to a call that was replaced.
+  bool EndCall(CallId call);
+  std::optional<Action> NextCheck();
   bool RecordFailure(StoreStatus status);
   void RecordSuccess(StoreTime now);
   // Applies a row unless a newer one, or its deletion, is known. Returns true
@@ -89,8 +99,13 @@
   std::map<std::string, RowVersion> m_deletions;
   RowVersion m_deletions_known_from = 0;
   bool m_loaded = false;
-  bool m_call_outstanding = false;
+  CallId m_last_call = 0;
+  // The call in progress and the check in progress; 0: none.
+  CallId m_call = 0;
+  CallId m_check = 0;
+  bool m_call_waits = false;  // the call in progress is a long poll
   bool m_call_requested = false;
+  bool m_check_requested = false;
   bool m_large_expected = false;
   bool m_read_needed = true;
   // Store version up to which changes have been applied.
--- a/Source/Fleet/table_replication.cc
+++ b/Source/Fleet/table_replication.cc
@@ -23,6 +23,8 @@
 // store asks for one at this interval.
 constexpr Milliseconds kLargeCopyInterval{2'000};
 constexpr Milliseconds kFetchInterval{3'000};
+// Confirmations are passed on to subscribers if they are newer by this much.
+constexpr Milliseconds kConfirmationStep{500};
 
 }  // namespace
 
@@ -55,7 +57,7 @@
 }
 
 bool TableReplication::Current() const {
-  if (!ReadsStore()) return SourceConfirmed();
+  if (!ReadsStore()) return Fresh();
   return !m_endpoint_table.Failing() && !m_operator_table.Failing();
 }
 
@@ -64,7 +66,14 @@
   auto* follower = FollowerOf(answer.table);
   if (follower == nullptr) return nullptr;
   const bool first_seats = follower == &m_seat_rows && !follower->Loaded();
-  if (!follower->Handle(answer)) return nullptr;
+  const bool was_failing = follower->Failing();
+  const bool changed = follower->Handle(answer);
+  if (was_failing && !follower->Failing()) RestartLongPolls();
+  if (follower == &m_operator_table && answer.status == StoreStatus::kDone) {
+    ConfirmToReaders();
+    if (!changed) ConfirmToSubscribers();
+  }
+  if (!changed) return nullptr;
   if (first_seats) m_first_start = follower->Rows().empty();
   NotifySubscribers(*follower);
   return follower;
@@ -96,14 +105,16 @@
 
 void TableReplication::Handle(const peer::Envelope& envelope,
                               const peer::TableDigest& digest) {
-  if (digest.answer) OnAnswer(envelope, digest);
+  if (digest.answer) OnAnswer(envelope);
   if (digest.query) OnQuery(envelope, digest);
   const auto now = m_clock->Now();
   const auto& address = envelope.from_address;
+  const auto complete_before = m_operator_table.CompleteAt();
   bool sender_is_newer = false;
   for (const auto& item : digest.tables) {
     auto* follower = FollowerOf(item.table);
     if (follower == nullptr) continue;
+    follower->Confirm(item);
     if (item.version > follower->ContentVersion()) {
       if (item.large) GetLargeChange(address, follower);
       sender_is_newer |= !item.large;
@@ -115,6 +126,9 @@
     sent_at = now;
     SendCopy(address, *follower, item.version, digest.fetch);
   }
+  if (m_operator_table.CompleteAt() - complete_before >= kConfirmationStep) {
+    ConfirmToSubscribers();
+  }
   // The sender of an answer knows the versions of this host and sends what it
   // lacks.
   if (!sender_is_newer || digest.answer) return;
@@ -124,6 +138,13 @@
   SendDigest(address, {}, true);
 }
 
+// The store answers again after a failure. The answer to a long poll that was
+// in progress meanwhile may be lost.
+void TableReplication::RestartLongPolls() {
+  m_operator_table.RestartLongPoll();
+  m_endpoint_table.RestartLongPoll();
+}
+
 void TableReplication::SendCopy(const std::string& address,
                                 const TableFollower& follower, RowVersion since,
                                 bool fetch) {
--- a/Source/Fleet/table_replication.h
+++ b/Source/Fleet/table_replication.h
@@ -4,10 +4,13 @@
 //
 // - Copies only become newer. A host that was cut off cannot bring an older
 //   configuration, with a key that was withdrawn, back into force.
-// - A host that is not a reader asks two readers for their versions at a fixed
-//   interval. An answer is a confirmation if its sender reaches the store.
-//   Without a recent confirmation the host checks the store itself, so a
-//   configuration reaches it within the same time as if its readers were gone.
+// - A host that is not a reader asks two readers at a fixed interval for their
+//   versions and for the time on the store's clock at which their copies were
+//   complete. Copies that were not complete recently are stale: the host then
+//   checks the store itself. A reader that the store does not answer cannot
+//   make older copies look recent.
+// - A long poll does not show whether the store answers. Readers check that at
+//   short intervals and tell each other and their subscribers.
 // - A host that is asked becomes a reader, whether or not it chose itself:
 // views
 //   of the fleet may differ for a while.
@@ -65,13 +68,13 @@
   };
   struct Source {
     std::optional<Instant> asked_since;  // first query without an answer
-    Instant confirmed_at{};  // last answer of the host while it reads the store
   };
 
   std::array<TableFollower*, 3> Followers();
   TableFollower* FollowerOf(const std::string& table);
   template <typename Answer>
   const TableFollower* HandleAnswer(const Answer& answer);
+  void RestartLongPolls();
   // Sends the changes since a version or, if they are large, only the newer
   // version. `fetch`: the receiver asked for a large copy.
   void SendCopy(const std::string& address, const TableFollower& follower,
@@ -85,9 +88,11 @@
 
   // ---- readers and their subscribers (table_sources.cc)
   void OnQuery(const peer::Envelope& envelope, const peer::TableDigest& digest);
-  void OnAnswer(const peer::Envelope& envelope,
-                const peer::TableDigest& digest);
+  void OnAnswer(const peer::Envelope& envelope);
   void NotifySubscribers(const TableFollower& follower);
+  void ConfirmToSubscribers();
+  // Tells the other readers that the store answers and what it has.
+  void ConfirmToReaders();
   // Decides which tables this host follows itself.
   void UpdateFollowModes();
   void UpdatePlan();
@@ -95,13 +100,14 @@
   void UpdateReaderRole();
   void FollowStore();
   void FollowSources();
+  void Avoid(const HostId& host);
   void AvoidSilentSources();
   void QuerySources();
   bool ReadsStore() const;
-  // True if a source that follows the store has answered recently.
-  bool SourceConfirmed() const;
-  // True if no source has confirmed its answers for a while.
-  bool SourcesLost() const;
+  // Time since the copy was complete, on the store's clock.
+  Milliseconds AgeOf(const TableFollower& follower) const;
+  // True if the copies were complete recently.
+  bool Fresh() const;
 
   const FleetHost m_self;
   const SeatTable* const m_seats;
@@ -116,10 +122,14 @@
   bool m_first_start = true;
   ReaderPlan m_plan;
   Instant m_next_plan_at{};
-  // Since when this host follows the store; unset while it does not.
-  std::optional<Instant> m_reads_since;
-  // Since when no source has confirmed its answers.
-  Instant m_unconfirmed_since{};
+  // Whether this host follows the store, and since when it does or does not.
+  bool m_follows_store = false;
+  Instant m_role_since{};
+  // Age of the copy at which this host, as a reader, checks the store.
+  Milliseconds m_check_age{0};
+  // Since when this host, whose copies are stale, checks whether the store
+  // answers.
+  std::optional<Instant> m_probing_since;
   // Other hosts use this host as a reader until then.
   Instant m_reader_until{};
   // Key: address of the host.
--- a/Source/Fleet/table_sources.cc
+++ b/Source/Fleet/table_sources.cc
@@ -13,9 +13,19 @@
 // Interval of the queries. A change that was not delivered arrives with the
 // next answer.
 constexpr Milliseconds kQueryInterval{700};
-// Longer than two intervals, so that one lost message does not matter, and
-// shorter than the time in which a configuration must be in force.
+// Longer than two intervals, so that one lost message does not matter.
 constexpr Milliseconds kSourceTimeout{1'600};
+// A reader whose copy has reached this age, and a random part of the spread,
+// checks whether the store answers. The answer serves all readers and their
+// subscribers, so usually one reader checks.
+constexpr Milliseconds kCheckAge{1'000};
+constexpr Milliseconds kCheckSpread{600};
+// Age from which copies are stale: longer than that of the last check and the
+// answer of a slow store. Together with the first probe of the store it is
+// shorter than the time in which a configuration must be in force.
+constexpr Milliseconds kOperatorTableMaxAge{2'400};
+// Longer than a long poll and the pause before it.
+constexpr Milliseconds kEndpointTableMaxAge{13'000};
 // A host that did not answer is not asked again for this long.
 constexpr Milliseconds kAvoidTime{10'000};
 constexpr Milliseconds kSubscriptionTime{3'000};
@@ -38,17 +48,22 @@
   return m_plan.reads_store || m_clock->Now() < m_reader_until;
 }
 
-bool TableReplication::SourceConfirmed() const {
-  const auto oldest = m_clock->Now() - kSourceTimeout;
-  return std::any_of(
-      m_plan.sources.begin(), m_plan.sources.end(), [&](const FleetHost& host) {
-        const auto it = m_sources.find(host.address);
-        return it != m_sources.end() && it->second.confirmed_at > oldest;
-      });
+Milliseconds TableReplication::AgeOf(const TableFollower& follower) const {
+  const auto store_time = m_seats->EstimatedStoreTime();
+  return store_time ? *store_time - follower.CompleteAt() : Milliseconds::max();
+}
+
+bool TableReplication::Fresh() const {
+  return AgeOf(m_operator_table) < kOperatorTableMaxAge &&
+         AgeOf(m_endpoint_table) < kEndpointTableMaxAge;
 }
 
-bool TableReplication::SourcesLost() const {
-  return m_clock->Now() - m_unconfirmed_since >= kSourceTimeout;
+void TableReplication::Avoid(const HostId& host) {
+  m_avoided[host] = m_clock->Now() + kAvoidTime;
+  m_next_plan_at = m_clock->Now();
+  m_counters->Add("table_sources_avoided");
+  log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_source_avoided",
+             {{"host", host}});
 }
 
 void TableReplication::AvoidSilentSources() {
@@ -61,11 +76,7 @@
     const auto& asked_since = source->second.asked_since;
     if (!asked_since || now - *asked_since < kSourceTimeout) continue;
     m_sources.erase(source);
-    m_avoided[host.host] = now + kAvoidTime;
-    m_next_plan_at = now;
-    m_counters->Add("table_sources_avoided");
-    log::Event(log::Channel::kPlatform, log::Level::kInfo,
-               "table_source_avoided", {{"host", host.host}});
+    Avoid(host.host);
   }
 }
 
@@ -90,7 +101,7 @@
   AvoidSilentSources();
   UpdatePlan();
   UpdateReaderRole();
-  if (m_reads_since) {
+  if (m_follows_store) {
     FollowStore();
   } else {
     FollowSources();
@@ -99,29 +110,38 @@
 
 void TableReplication::UpdateReaderRole() {
   const auto now = m_clock->Now();
-  if (SourceConfirmed()) m_unconfirmed_since = now;
-  const bool store_answers =
-      m_operator_table.LastAnswerTime() > m_unconfirmed_since;
-  if (!m_plan.reads_store && SourcesLost() && store_answers) {
-    // The store answers this host although no source reaches it.
+  if (m_probing_since && m_operator_table.LastAnswerTime() > *m_probing_since) {
+    // The store answers this host, but not its sources.
+    m_probing_since.reset();
     m_reader_until = std::max(m_reader_until, now + kSubscriptionTime);
-    m_unconfirmed_since = now;
+    for (const auto& host : m_plan.sources) Avoid(host.host);
   }
   const bool reads_store = ReadsStore();
-  if (reads_store == m_reads_since.has_value()) return;
-  m_reads_since = reads_store ? std::optional(now) : std::nullopt;
-  m_unconfirmed_since = now;
+  if (reads_store == m_follows_store) return;
+  m_follows_store = reads_store;
+  m_role_since = now;
+  m_probing_since.reset();
+  m_next_query_at = now;
   log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_source",
              {{"source", reads_store ? std::string("store")
                                      : m_plan.sources.front().host}});
 }
 
 void TableReplication::FollowSources() {
-  // One table is enough to find out that the store answers this host.
-  m_operator_table.SetMode(SourcesLost() ? FollowMode::kProbe
-                                         : FollowMode::kPaused);
   m_endpoint_table.SetMode(FollowMode::kPaused);
   m_seat_rows.SetMode(FollowMode::kPaused);
+  // New sources need time for their first answers.
+  const bool stale =
+      !Fresh() && m_clock->Now() - m_role_since >= kSourceTimeout;
+  if (!stale) m_probing_since.reset();
+  if (stale && !m_probing_since) {
+    m_probing_since = m_clock->Now();
+    m_counters->Add("table_copies_stale");
+    log::Event(log::Channel::kPlatform, log::Level::kWarn, "table_copies_stale",
+               {{"source", m_plan.sources.front().host}});
+  }
+  // One table is enough to find out that the store answers this host.
+  m_operator_table.SetMode(stale ? FollowMode::kProbe : FollowMode::kPaused);
 }
 
 void TableReplication::FollowStore() {
@@ -133,6 +153,11 @@
   if (discovering) spacing = kDiscoverySpacing;
   m_operator_table.SetMode(FollowMode::kLongPoll, spacing);
   m_endpoint_table.SetMode(FollowMode::kLongPoll, spacing);
+  if (has_subscribers && AgeOf(m_operator_table) >= m_check_age) {
+    m_check_age =
+        kCheckAge + Milliseconds(m_random->UniformBelow(kCheckSpread.count()));
+    m_operator_table.RequestCheck();
+  }
   if (discovering) return m_seat_rows.SetMode(FollowMode::kPaused);
   m_seat_rows.SetMode(FollowMode::kInterval, has_subscribers
                                                  ? kReaderSeatPollInterval
@@ -167,24 +192,25 @@
   UpdateFollowModes();
   peer::TableDigest answer;
   answer.answer = true;
-  answer.confirmed = m_reads_since.has_value();
-  for (const auto* follower : {&m_operator_table, &m_endpoint_table}) {
-    answer.confirmed &= follower->Loaded() && !follower->Failing() &&
-                        follower->LastAnswerTime() >= *m_reads_since;
-  }
   SendDigest(envelope.from_address, std::move(answer), true);
 }
 
-void TableReplication::OnAnswer(const peer::Envelope& envelope,
-                                const peer::TableDigest& digest) {
+void TableReplication::OnAnswer(const peer::Envelope& envelope) {
   const auto source = m_sources.find(envelope.from_address);
-  if (source == m_sources.end()) return;
-  source->second.asked_since.reset();
-  if (digest.confirmed) source->second.confirmed_at = m_clock->Now();
-  for (const auto& item : digest.tables) {
-    auto* follower = FollowerOf(item.table);
-    if (follower == nullptr) continue;
-    follower->Confirm(item);
+  if (source != m_sources.end()) source->second.asked_since.reset();
+}
+
+// Tells the subscribers that nothing has changed, before their copies are
+// stale.
+void TableReplication::ConfirmToSubscribers() {
+  for (const auto& [address, subscriber] : m_subscribers) {
+    if (subscriber.wants_changes) SendDigest(address, {}, false);
+  }
+}
+
+void TableReplication::ConfirmToReaders() {
+  for (const auto& reader : m_plan.readers) {
+    SendDigest(reader.address, {}, false);
   }
 }
 
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -211,7 +211,6 @@
   if (message.query) (*out)["query"] = true;
   if (message.subscribe) (*out)["subscribe"] = true;
   if (message.answer) (*out)["answer"] = true;
-  if (message.confirmed) (*out)["confirmed"] = true;
 }
 void DecodeBody(const Json::Value& json, TableDigest* message) {
   for (const auto& item : json["tables"]) {
@@ -224,7 +223,6 @@
   message->query = BoolOr(json, "query");
   message->subscribe = BoolOr(json, "subscribe");
   message->answer = BoolOr(json, "answer");
-  message->confirmed = BoolOr(json, "confirmed");
 }
 void EncodeBody(const StepDownRequest& message, Json::Value* out) {
   (*out)["group"] = message.group;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -121,8 +121,6 @@
   bool subscribe = false;
   // This is the answer to a query.
   bool answer = false;
-  // With `answer`: the sender follows the store, and its last call succeeded.
-  bool confirmed = false;
 };
 // Rows of a table, sent to a host whose copy is older, since that host may be
 // unable to reach the platform.
--- a/Source/UnitTests/Fleet/table_replication_test.cc
+++ b/Source/UnitTests/Fleet/table_replication_test.cc
@@ -129,6 +129,49 @@
   }
 }
 
+// Readers that the store does not answer took a long poll without an answer for
+// one without changes and confirmed their copies to the other hosts. These kept
+// a withdrawn key and an old route in force although the store served them.
+TEST(LargeFleet, ConfigurationReachesHostsOfReadersThatGetNoAnswer) {
+  for (const int hosts : {15, kHosts}) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+      FleetSimulation simulation(hosts, 3, seed);
+      simulation.Run(seconds(20));
+      const auto readers = simulation.HostsPolling("config");
+      ASSERT_FALSE(readers.empty());
+      ASSERT_LT(readers.size(), static_cast<std::size_t>(hosts) / 2);
+      simulation.unanswered_by_store = readers;
+      simulation.Run(Milliseconds(200));
+      simulation.SetConfig(9);
+      simulation.Run(Milliseconds(2'900));
+      EXPECT_TRUE(HostsBehind(simulation, 9, readers).empty())
+          << hosts << " hosts, seed " << seed;
+      // The hosts stay up to date for as long as this lasts.
+      simulation.Run(seconds(3));
+      simulation.SetConfig(10);
+      simulation.Run(Milliseconds(2'900));
+      EXPECT_TRUE(HostsBehind(simulation, 10, readers).empty())
+          << hosts << " hosts, seed " << seed;
+    }
+  }
+}
+
+// A long poll whose answer was lost ended only with its time limit, long after
+// the store answered again.
+TEST(SmallFleet, ConfigurationReachesAllHostsAfterTheStoreLeftPollsUnanswered) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    FleetSimulation simulation(6, 3, seed);
+    // New long polls have just begun on all hosts.
+    simulation.Run(seconds(21));
+    simulation.unanswered_by_store = {0, 1, 2, 3, 4, 5};
+    simulation.SetConfig(9);
+    simulation.Run(seconds(6));
+    simulation.unanswered_by_store.clear();
+    simulation.Run(seconds(3));
+    EXPECT_TRUE(HostsBehind(simulation, 9, {}).empty()) << seed;
+  }
+}
+
 // Load pattern: the configuration grows to 1,700 routes. Readers that sent it
 // to each host that was behind, again at each query, filled their links for
 // seconds, and callers' requests were not answered.
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -33,7 +33,7 @@
       limits::UnitGrant{"e", 21, 22},
       limits::UnitReturn{"e", 23},
       limits::UnitRecall{"e", 24},
-      TableDigest{{{"t", 25, 24, 23, true}}, true, true, true, true, true},
+      TableDigest{{{"t", 25, 24, 23, true}}, true, true, true, true},
       TableCopy{"t",
                 26,
                 {{"k", std::string("\x00\xff", 2), 27}, {"d", "", 28, true}},
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds kTickInterval{25};
 constexpr Milliseconds kPromotionTime{600};
+constexpr Milliseconds kWriteAnswerLimit{1'200};
 constexpr char kGroup[] = "g";
 constexpr int kZones = 3;
 
@@ -132,6 +133,14 @@
       });
 }
 
+std::set<int> FleetSimulation::HostsPolling(const std::string& table) const {
+  std::set<int> hosts;
+  for (const auto& poll : m_long_polls) {
+    if (poll.follow.table == table && !poll.lost) hosts.insert(poll.host);
+  }
+  return hosts;
+}
+
 bool FleetSimulation::ReachesStore(int host) const {
   return !store_down && cut_off_from_store.count(host) == 0;
 }
@@ -144,6 +153,16 @@
        state.generation, std::move(event)});
 }
 
+template <typename Answer>
+void FleetSimulation::DeliverStoreAnswer(int host, Answer event,
+                                         Milliseconds answer_limit) {
+  if (unanswered_by_store.count(host) == 0) return Deliver(host, event);
+  event.status = StoreStatus::kUnknown;
+  const auto& state = *m_hosts[static_cast<std::size_t>(host)];
+  m_deliveries.push_back(
+      {clock.Now() + answer_limit, host, state.generation, event});
+}
+
 void FleetSimulation::Run(Milliseconds duration) {
   const auto end = clock.Now() + duration;
   while (clock.Now() < end) {
@@ -201,15 +220,16 @@
                  std::holds_alternative<FollowTable>(action) ||
                  std::holds_alternative<WriteRow>(action);
   if (const auto* read = std::get_if<ReadTable>(&action)) {
-    TableRead event{
-        read->table, StoreStatus::kUnknown, {}, m_version, StoreNow()};
+    TableRead event{read->table, StoreStatus::kUnknown,
+                    {},          m_version,
+                    StoreNow(),  read->call};
     if (ReachesStore(host)) {
       event.status = StoreStatus::kDone;
       for (const auto& [key, item] : m_tables[read->table]) {
         event.rows.push_back(item);
       }
     }
-    Deliver(host, event);
+    DeliverStoreAnswer(host, event, read->answer_limit);
   } else if (const auto* follow = std::get_if<FollowTable>(&action)) {
     m_long_polls.push_back(
         {host, state.generation, *follow, clock.Now() + follow->wait});
@@ -231,7 +251,7 @@
         event.status = StoreStatus::kUnknown;
       }
     }
-    Deliver(host, event);
+    DeliverStoreAnswer(host, event, kWriteAnswerLimit);
   } else if (const auto* promote = std::get_if<Promote>(&action)) {
     auto status = HandlePromote(*promote);
     if (lose_one_answer_in > 0 &&
@@ -262,8 +282,17 @@
 void FleetSimulation::AnswerLongPolls() {
   std::vector<LongPoll> still_open;
   for (auto& poll : std::exchange(m_long_polls, {})) {
-    TableChanged event{
-        poll.follow.table, StoreStatus::kDone, {}, m_version, StoreNow()};
+    TableChanged event{poll.follow.table, StoreStatus::kDone, {},
+                       m_version,         StoreNow(),         poll.follow.call};
+    if (poll.lost) {
+      if (clock.Now() < poll.deadline + poll.follow.answer_limit) {
+        still_open.push_back(std::move(poll));
+        continue;
+      }
+      event.status = StoreStatus::kUnknown;
+      Deliver(poll.host, event);
+      continue;
+    }
     if (!ReachesStore(poll.host)) {
       event.status = StoreStatus::kUnknown;
       Deliver(poll.host, event);
@@ -276,6 +305,11 @@
       still_open.push_back(std::move(poll));
       continue;
     }
+    if (unanswered_by_store.count(poll.host) > 0) {
+      poll.lost = true;
+      still_open.push_back(std::move(poll));
+      continue;
+    }
     Deliver(poll.host, event);
   }
   for (auto& poll : still_open) m_long_polls.push_back(std::move(poll));
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -55,13 +55,17 @@
   relay::DirectoryPtr DirectoryOf(int host) const;
   const limits::SeatView& SeatsOf(int host) const;
   bool AllReplicasResumed() const;
+  // The hosts that wait at the store for a change of this table.
+  std::set<int> HostsPolling(const std::string& table) const;
   // Restarts a host: it loses its state and keeps its name.
   void Restart(int host);
 
   ManualClock clock;
   SeededRandom random;
   std::set<int> cut_off_from_store;  // hosts that cannot reach the store
-  std::set<int> frozen;              // hosts that handle no events
+  // Hosts whose calls reach the store and get no answer, not even later.
+  std::set<int> unanswered_by_store;
+  std::set<int> frozen;  // hosts that handle no events
   bool store_down = false;
   // One in this many writes and promotions is executed but not answered; 0:
   // none.
@@ -99,11 +103,16 @@
     int generation = 0;
     FollowTable follow;
     Instant deadline;
+    bool lost = false;  // the answer was lost
   };
   void Start(int host);
   void ExecuteActions(int host);
   void Execute(int host, const Action& action);
   void Deliver(int host, Event event, std::uint64_t max_delay_ms = 8);
+  // Delivers the answer to a call of the host after a message delay or, if the
+  // store leaves the host without an answer, a failure after `answer_limit`.
+  template <typename Answer>
+  void DeliverStoreAnswer(int host, Answer event, Milliseconds answer_limit);
   bool ReachesStore(int host) const;
   void PutRow(const std::string& table, const std::string& key,
               const std::string& value);
