Readers share their polls of the seats; one stale copy does not make a reader

Change: a reader with subscribers reads the seats when its copy is 2.8 to 3.4 s old and passes them on, as it does with the operator's table, so usually one reader of the fleet polls. A host with stale copies becomes a reader only if its copies are stale again after a first check of the store.

--- a/Source/Fleet/table_replication.cc
+++ b/Source/Fleet/table_replication.cc
@@ -69,9 +69,12 @@
   const bool was_failing = follower->Failing();
   const bool changed = follower->Handle(answer);
   if (was_failing && !follower->Failing()) RestartLongPolls();
-  if (follower == &m_operator_table && answer.status == StoreStatus::kDone) {
+  if (follower != &m_endpoint_table && answer.status == StoreStatus::kDone) {
     ConfirmToReaders();
-    if (!changed) ConfirmToSubscribers();
+  }
+  if (follower == &m_operator_table && answer.status == StoreStatus::kDone &&
+      !changed) {
+    ConfirmToSubscribers();
   }
   if (!changed) return nullptr;
   if (first_seats) m_first_start = follower->Rows().empty();
--- a/Source/Fleet/table_replication.h
+++ b/Source/Fleet/table_replication.h
@@ -91,6 +91,8 @@
   void OnAnswer(const peer::Envelope& envelope);
   void NotifySubscribers(const TableFollower& follower);
   void ConfirmToSubscribers();
+  // A random delay, so that one reader checks before the others.
+  Milliseconds CheckSpread();
   // Tells the other readers that the store answers and what it has.
   void ConfirmToReaders();
   // Decides which tables this host follows itself.
@@ -125,11 +127,13 @@
   // Whether this host follows the store, and since when it does or does not.
   bool m_follows_store = false;
   Instant m_role_since{};
-  // Age of the copy at which this host, as a reader, checks the store.
+  // Ages of the copies at which this host, as a reader, checks the store.
   Milliseconds m_check_age{0};
+  Milliseconds m_seat_check_age{0};
   // Since when this host, whose copies are stale, checks whether the store
   // answers.
   std::optional<Instant> m_probing_since;
+  Instant m_last_probe_answer{};
   // Other hosts use this host as a reader until then.
   Instant m_reader_until{};
   // Key: address of the host.
--- a/Source/Fleet/table_sources.cc
+++ b/Source/Fleet/table_sources.cc
@@ -38,9 +38,10 @@
 // Bounds the calls of a reader while many rows change.
 constexpr Milliseconds kReaderSpacing{100};
 constexpr Milliseconds kSeatPollInterval{5'000};
+// Age at which a reader with subscribers reads the seats, as in kCheckAge.
 // Shorter, since a new seat has to be known to all hosts before it counts, and
 // copies that pass through a reader take longer.
-constexpr Milliseconds kReaderSeatPollInterval{3'000};
+constexpr Milliseconds kReaderSeatAge{2'800};
 
 }  // namespace
 
@@ -61,6 +62,7 @@
 void TableReplication::Avoid(const HostId& host) {
   m_avoided[host] = m_clock->Now() + kAvoidTime;
   m_next_plan_at = m_clock->Now();
+  m_next_query_at = m_clock->Now();
   m_counters->Add("table_sources_avoided");
   log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_source_avoided",
              {{"host", host}});
@@ -111,10 +113,14 @@
 void TableReplication::UpdateReaderRole() {
   const auto now = m_clock->Now();
   if (m_probing_since && m_operator_table.LastAnswerTime() > *m_probing_since) {
-    // The store answers this host, but not its sources.
     m_probing_since.reset();
-    m_reader_until = std::max(m_reader_until, now + kSubscriptionTime);
-    for (const auto& host : m_plan.sources) Avoid(host.host);
+    // The answer made the copy fresh. If that happens twice in a row, the store
+    // answers this host but not its sources.
+    if (now - m_last_probe_answer < 2 * kOperatorTableMaxAge) {
+      m_reader_until = std::max(m_reader_until, now + kSubscriptionTime);
+      for (const auto& host : m_plan.sources) Avoid(host.host);
+    }
+    m_last_probe_answer = now;
   }
   const bool reads_store = ReadsStore();
   if (reads_store == m_follows_store) return;
@@ -154,14 +160,22 @@
   m_operator_table.SetMode(FollowMode::kLongPoll, spacing);
   m_endpoint_table.SetMode(FollowMode::kLongPoll, spacing);
   if (has_subscribers && AgeOf(m_operator_table) >= m_check_age) {
-    m_check_age =
-        kCheckAge + Milliseconds(m_random->UniformBelow(kCheckSpread.count()));
+    m_check_age = kCheckAge + CheckSpread();
     m_operator_table.RequestCheck();
   }
   if (discovering) return m_seat_rows.SetMode(FollowMode::kPaused);
-  m_seat_rows.SetMode(FollowMode::kInterval, has_subscribers
-                                                 ? kReaderSeatPollInterval
-                                                 : kSeatPollInterval);
+  if (!has_subscribers) {
+    return m_seat_rows.SetMode(FollowMode::kInterval, kSeatPollInterval);
+  }
+  m_seat_rows.SetMode(FollowMode::kPaused);
+  if (AgeOf(m_seat_rows) >= m_seat_check_age) {
+    m_seat_check_age = kReaderSeatAge + CheckSpread();
+    m_seat_rows.RequestCall();
+  }
+}
+
+Milliseconds TableReplication::CheckSpread() {
+  return Milliseconds(m_random->UniformBelow(kCheckSpread.count()));
 }
 
 void TableReplication::QuerySources() {
@@ -210,7 +224,7 @@
 
 void TableReplication::ConfirmToReaders() {
   for (const auto& reader : m_plan.readers) {
-    SendDigest(reader.address, {}, false);
+    SendDigest(reader.address, {}, true);
   }
 }
 
