Refuse at once what cannot be answered before a stopping host exits

Cause: nothing refused statements that could not be answered in time. The host passed them on until it exited 0.8 s before the end of its grace period.

Evidence: requests_left=2 or 3 in the last log line of the stopped host; in the unit tests the statement was sent to the endpoint.

Change: DrainStarted names until when open transactions may go on (half of the grace period) and when the process exits. In between, a statement whose time limit ends after the exit is refused and not run: ABORTED in a transaction, which is rolled back, BUSY otherwise. So what is passed on is answered or timed out before the exit.

--- a/Source/Daemon/traffic_service.cc
+++ b/Source/Daemon/traffic_service.cc
@@ -148,7 +148,11 @@
   });
 }
 
-void TrafficService::Drain() { m_draining_since = m_clock.Now(); }
+void TrafficService::Drain() {
+  if (m_draining_since) return;
+  m_draining_since = m_clock.Now();
+  Handle(traffic::DrainStarted{m_settings.drain_limit});
+}
 
 // Keeps the listener open until all transactions have ended, because their
 // statements arrive through it. After that, waits only for responses in
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -229,8 +229,9 @@
   }
 }
 
-void RelayCore::On(const DrainStarted&) {
-  if (!m_drain_started) m_drain_started = Now();
+void RelayCore::On(const DrainStarted& event) {
+  if (m_drain) return;
+  m_drain = {Now(), Now() + event.transaction_time, Now() + event.exit_time};
 }
 
 void RelayCore::On(const TimerFired&) {
@@ -243,7 +244,7 @@
   ProbePrimaries();
   ReportPrimaries();
   CheckReachability();
-  if (m_drain_started) Drain();
+  if (m_drain) Drain();
 }
 
 void RelayCore::ExpireSteps() {
@@ -418,7 +419,12 @@
 // Closes sessions between operations once the load balancer has had time to
 // notice the drain. Transactions in progress may finish first.
 void RelayCore::Drain() {
-  if (Now() - *m_drain_started >= kDrainDelay) CloseIdleSessions();
+  if (Now() - m_drain->started >= kDrainDelay) CloseIdleSessions();
+}
+
+bool RelayCore::ExitsBeforeAnswer(const Request& request) const {
+  return m_drain && Now() >= m_drain->transactions_end &&
+         request.deadline > m_drain->exit;
 }
 
 void RelayCore::CloseIdleSessions() {
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -166,6 +166,8 @@
   void CheckReachability();
   std::vector<limits::RateLimit> RateLimits() const;
   void Drain();
+  // True if the process may exit before it could answer this request.
+  bool ExitsBeforeAnswer(const Request& request) const;
   void CloseIdleSessions();
   const Endpoint* PrimaryOf(const GroupId& group) const;
   // True if the group's primary is known and answers.
@@ -196,7 +198,13 @@
   mutable std::map<GroupId, GroupState> m_groups;
   std::map<std::uint64_t, AdminJob> m_admin;
   ConnectionId m_next_connection = 1;
-  std::optional<Instant> m_drain_started;
+  // Set while the process is being stopped.
+  struct DrainTimes {
+    Instant started;
+    Instant transactions_end;
+    Instant exit;
+  };
+  std::optional<DrainTimes> m_drain;
   // Sessions that were opened before the first directory arrived.
   std::vector<SessionOpened> m_deferred_sessions;
   // Since when most primaries have been unreachable.
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -78,7 +78,13 @@
   EndpointId endpoint;
   Duration silent_for{};
 };
-struct DrainStarted {};
+// The process is being stopped.
+struct DrainStarted {
+  // Open transactions may go on for this long.
+  Duration transaction_time{};
+  // The process exits after this time at the latest.
+  Duration exit_time{};
+};
 struct TimerFired {};
 
 using Event =
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -167,6 +167,9 @@
   session->route = directory->routes.at(session->database);
   auto& request = *session->request;
   request.deadline = request.arrived + session->route.statement_timeout;
+  if (ExitsBeforeAnswer(request)) {
+    return Refuse(session, Refusal::kBusy, "host is stopping, use another one");
+  }
   if (verb == Verb::kExecute &&
       session->prepared.count(event.statement.name) == 0) {
     return Refuse(session, Refusal::kNoStatement, "no such name");
@@ -304,6 +307,11 @@
     EndTransaction(session, TxState::kIdle);
     return AnswerLocally(session);
   }
+  if (ExitsBeforeAnswer(request)) {
+    EndTransaction(session,
+                   verb == Verb::kCommit ? TxState::kIdle : TxState::kFailed);
+    return Refuse(session, Refusal::kAborted, "host is stopping");
+  }
   if (verb == Verb::kBegin || verb == Verb::kBeginRead ||
       verb == Verb::kInvalid) {
     EndTransaction(session, TxState::kFailed);
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -106,10 +106,14 @@
       session->prepared.count(event.statement.name) == 0) {
     return Refuse(session, Refusal::kNoStatement, "no such name");
   }
-  if (session->connection != 0) {
-    return SendNextStep(FindConnection(session->connection), session);
-  }
-  AssignConnection(session);
+  if (session->connection == 0) return AssignConnection(session);
+  auto* connection = FindConnection(session->connection);
+  if (Now() < m_transactions_end) return SendNextStep(connection, session);
+  session->state = TxState::kFailed;
+  // Not kAborted, which the calling host takes for a silent endpoint.
+  Refuse(session, Refusal::kMisrouted, "host is leaving");
+  Release(connection);
+  EndSession(event.session);
 }
 
 bool SharedPool::HandleLocal(PoolSession* session, const Statement& statement) {
@@ -490,8 +494,9 @@
   }
 }
 
-void SharedPool::On(const DrainStarted&) {
+void SharedPool::On(const DrainStarted& event) {
   m_draining = true;
+  m_transactions_end = Now() + event.transaction_time;
   std::vector<SessionId> idle;
   for (const auto& [id, session] : m_sessions) {
     if (!session.pending && session.connection == 0) idle.push_back(id);
--- a/Source/Relay/shared_pool.h
+++ b/Source/Relay/shared_pool.h
@@ -112,6 +112,9 @@
   std::map<EndpointId, bool> m_silence_reported;
   ConnectionId m_next_connection = 1;
   bool m_draining = false;
+  // From then on, a host that is being stopped runs no more statements of open
+  // transactions.
+  Instant m_transactions_end = Instant::max();
   std::vector<PoolAction> m_actions;
 };
 
--- a/Source/Traffic/traffic_core.cc
+++ b/Source/Traffic/traffic_core.cc
@@ -81,6 +81,10 @@
   AcquireRateToken(request);
 }
 
+void TrafficCore::On(const DrainStarted& event) {
+  m_exit_at = Now() + event.exit_time;
+}
+
 Result<void> TrafficCore::Admit(Request* request) {
   if (!m_view || !m_view->config) {
     return MakeError(ErrorCode::kPlatformUnavailable, "no configuration yet");
@@ -93,6 +97,11 @@
   if (m_view->draining && call.kind == RequestKind::kBegin) {
     return MakeError(ErrorCode::kShuttingDown, "no new transactions here");
   }
+  if (m_exit_at && request->deadline > *m_exit_at &&
+      call.kind != RequestKind::kRollback) {
+    return MakeError(ErrorCode::kShuttingDown,
+                     "the host stops before the deadline");
+  }
   const auto authenticated = Authenticate(request);
   if (!authenticated) return authenticated.error();
   if (!call.token.empty()) {
--- a/Source/Traffic/traffic_core.h
+++ b/Source/Traffic/traffic_core.h
@@ -74,6 +74,7 @@
   void On(const ConnectionClosed& closed);
   void On(const ViewChanged& changed);
   void On(const ShareMessageArrived& received);
+  void On(const DrainStarted& event);
   void On(const TimerFired& timer);
 
   // Admission.
@@ -169,6 +170,8 @@
   Counters* const m_counters;
 
   TrafficViewPtr m_view;
+  // When the process exits at the latest; set while it is being stopped.
+  std::optional<Instant> m_exit_at;
   routing::EndpointTable m_endpoints;
   routing::ReadRouter m_router;
   ConnectionPool m_pool;
--- a/Source/Traffic/traffic_messages.h
+++ b/Source/Traffic/traffic_messages.h
@@ -84,12 +84,16 @@
   HostId from;
   limits::ShareMessage message;
 };
+// The process is being stopped and exits after `exit_time` at the latest.
+struct DrainStarted {
+  Duration exit_time{};
+};
 // Periodic timer, sent every few milliseconds.
 struct TimerFired {};
 
 using Event = std::variant<CallerRequest, PipelineDone, ConnectionOpened,
                            ConnectionClosed, ViewChanged, ShareMessageArrived,
-                           TimerFired>;
+                           DrainStarted, TimerFired>;
 
 // --- Actions ---
 
--- a/Source/UnitTests/Relay/shared_pool_test.cc
+++ b/Source/UnitTests/Relay/shared_pool_test.cc
@@ -221,7 +221,7 @@
   const auto open = bench.Open("w1");
   bench.Submit(open, Verb::kBegin, "BEGIN");
   bench.CompleteNext(TxState::kOpen);
-  bench.Handle(DrainStarted{});
+  bench.Handle(DrainStarted{seconds(3), seconds(5)});
   EXPECT_EQ(bench.closed, (std::vector<SessionId>{idle}));
   bench.Submit(open, Verb::kCommit, "COMMIT");
   bench.CompleteNext();
@@ -229,6 +229,23 @@
   EXPECT_EQ(bench.closed, (std::vector<SessionId>{idle, open}));
 }
 
+// The pool of a host that was being stopped passed on statements of other hosts
+// until it exited, which left the outcome of writes in doubt.
+TEST(SharedPool, LeavingHostEndsOpenTransactionsBeforeItExits) {
+  PoolBench bench;
+  const auto session = bench.Open("w1");
+  bench.Submit(session, Verb::kBegin, "BEGIN");
+  bench.CompleteNext(TxState::kOpen);
+  bench.Handle(DrainStarted{seconds(3), seconds(5)});
+  bench.Tick(seconds(3));
+  bench.Submit(session, Verb::kWrite, "WRITE a x");
+  ASSERT_EQ(bench.replies[session].size(), 2U);
+  EXPECT_EQ(bench.replies[session][1].refusal, Refusal::kMisrouted);
+  EXPECT_EQ(bench.closed, (std::vector<SessionId>{session}));
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kRollback);
+}
+
 // ---- choice of the host that keeps the connections
 
 limits::SeatView Seats(std::size_t hosts) {
--- a/Source/UnitTests/Traffic/traffic_core_test.cc
+++ b/Source/UnitTests/Traffic/traffic_core_test.cc
@@ -198,6 +198,31 @@
             0U);
 }
 
+// A host that was being stopped took requests until its drain limit and closed
+// the connections of those in progress without an answer.
+TEST_F(TrafficTest, RequestThatCannotBeAnsweredBeforeTheExitIsRefused) {
+  auto begin = m_simulation.MakeIncrement("w1", "a");
+  begin.kind = RequestKind::kBegin;
+  begin.statements.clear();
+  const auto begun = m_simulation.Call(0, begin);
+  ASSERT_TRUE(begun && !begun->error);
+  auto step = m_simulation.MakeIncrement("w1", "a");
+  step.kind = RequestKind::kTransactionExecute;
+  step.transaction = StringOr(ParseJson(begun->body).value(), "transaction");
+  step.deadline = seconds(2);
+  m_simulation.Traffic(0).Handle(traffic::DrainStarted{seconds(4)});
+  m_simulation.RunFor(seconds(1));
+  EXPECT_FALSE(m_simulation.Call(0, step)->error);
+  m_simulation.RunFor(Milliseconds(1'100));
+  const auto refused = m_simulation.Call(0, step);
+  ASSERT_EQ(CodeOf(refused), ErrorCode::kShuttingDown);
+  EXPECT_EQ(refused->error->outcome, RunOutcome::kNotRun);
+  auto write = m_simulation.MakeIncrement("w1", "b");
+  write.deadline = seconds(2);
+  EXPECT_EQ(CodeOf(m_simulation.Call(0, write)), ErrorCode::kShuttingDown);
+  EXPECT_FALSE(m_simulation.Call(1, write)->error);
+}
+
 TEST_F(TrafficTest, LostCommitAnswerIsResolvedFromItsRecordOnAnotherHost) {
   auto begin = m_simulation.MakeIncrement("w1", "a");
   begin.kind = RequestKind::kBegin;
