Let the answers of endpoints settle who is the primary of a group

Seen by callers (operators' report on odd rows): a row that named an endpoint which does not run the primary of a group stopped all writes of the group for as long as it stayed, although the true primary ran and answered.

Cause: the newest row that says "primary" was believed, and the failover treated the true primary as a replica that has to pause. If the row had the true primary's address, MISROUTED refusals counted as answers of the listed endpoint, and not even a failover started.

A host that suspects the primary first asks the other endpoints whose rows name them the primary; one that answers as the primary in the newest reported term is used, and the other row is left out until it reports another role. Nothing is written to the store. The same answer to a probe or a pause ends a failover; a primary of an older term is made to step down. MISROUTED counts as silence of the listed endpoint.

--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -113,7 +113,13 @@
 
 void DirectoryBuilder::MarkNotPrimary(const EndpointId& endpoint) {
   const auto it = m_entries.find(endpoint);
-  if (it != m_entries.end()) it->second.not_primary = true;
+  if (it == m_entries.end()) return;
+  it->second.not_primary = true;
+  // What it disproved while it was the primary may hold now.
+  for (auto& [id, entry] : m_entries) {
+    if (entry.endpoint.group != it->second.endpoint.group) continue;
+    entry.disproved_since = 0;
+  }
 }
 
 void DirectoryBuilder::SetExpectedPrimary(const GroupId& group,
@@ -124,12 +130,34 @@
   }
 }
 
+void DirectoryBuilder::ConfirmPrimary(const GroupId& group,
+                                      const EndpointId& endpoint) {
+  for (auto& [id, entry] : m_entries) {
+    if (entry.endpoint.group != group) continue;
+    entry.not_primary = id != endpoint;
+    if (id == endpoint) {
+      entry.confirmed_version = entry.version;
+      entry.disproved_since = 0;
+    } else {
+      entry.disproved_since = entry.primary_since;
+    }
+  }
+}
+
+RowVersion DirectoryBuilder::PrimarySince(const Entry& entry) {
+  if (entry.primary_since != 0) {
+    return entry.primary_since == entry.disproved_since ? 0
+                                                        : entry.primary_since;
+  }
+  return entry.confirmed_version == entry.version ? entry.version : 0;
+}
+
 EndpointId DirectoryBuilder::ChoosePrimary(const GroupId& group) const {
   const Entry* best = nullptr;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.endpoint.group != group || entry.primary_since == 0) continue;
+    if (entry.endpoint.group != group || PrimarySince(entry) == 0) continue;
     if (entry.not_primary) continue;
-    if (best == nullptr || entry.primary_since > best->primary_since) {
+    if (best == nullptr || PrimarySince(entry) > PrimarySince(*best)) {
       best = &entry;
     }
   }
@@ -154,11 +182,16 @@
     copy.primary = ChoosePrimary(group.name);
   }
   for (const auto& [id, entry] : m_entries) {
+    const bool says_primary = entry.primary_since != 0;
+    if (says_primary && PrimarySince(entry) == 0) continue;
     auto& copy = out->endpoints[id];
     copy = entry.endpoint;
     copy.leaving |= m_zones_out_of_service.count(copy.zone) > 0;
     const auto group = out->groups.find(copy.group);
     copy.primary = group != out->groups.end() && group->second.primary == id;
+    if (says_primary && !copy.primary && group != out->groups.end()) {
+      group->second.other_primaries.push_back(id);
+    }
   }
   out->transaction_idle = m_config->transaction_idle;
   return out;
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -54,6 +54,10 @@
   // Records that this host promoted `endpoint`. Other endpoints of the group
   // are not chosen as primary until they write a new version of their row.
   void SetExpectedPrimary(const GroupId& group, const EndpointId& endpoint);
+  // Records that `endpoint` has answered that it is the primary. Other
+  // endpoints whose rows say the same are left out until they report another
+  // role first.
+  void ConfirmPrimary(const GroupId& group, const EndpointId& endpoint);
   // Removes entries whose rows have been missing for longer than the grace
   // period. Returns true if any entry was removed.
   bool ExpireMissing();
@@ -71,10 +75,16 @@
     // Version of the row in which the endpoint began to report itself as
     // primary; 0 if it does not.
     RowVersion primary_since = 0;
+    // Value of primary_since that was disproved by another endpoint's answer.
+    RowVersion disproved_since = 0;
+    // Version of the row when the endpoint answered that it is the primary.
+    RowVersion confirmed_version = 0;
     // Time since which its row has been missing.
     std::optional<Instant> missing_since;
     bool not_primary = false;
   };
+  // The version from which the entry counts as primary; 0: it does not.
+  static RowVersion PrimarySince(const Entry& entry);
   EndpointId ChoosePrimary(const GroupId& group) const;
 
   const RecordCodec* const m_codec;
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -186,7 +186,11 @@
   for (const auto& [group, endpoint] : promoted) {
     m_builder.SetExpectedPrimary(group, endpoint);
   }
-  if (!promoted.empty()) Publish();
+  const auto confirmed = m_failover.TakeConfirmedPrimaries();
+  for (const auto& [group, endpoint] : confirmed) {
+    m_builder.ConfirmPrimary(group, endpoint);
+  }
+  if (!promoted.empty() || !confirmed.empty()) Publish();
 }
 
 }  // namespace tiller::fleet
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -121,6 +121,7 @@
 void PrimaryFailover::Handle(const relay::PrimaryHealth& event) {
   auto& job = m_jobs[event.group];
   job.newest_term = std::max(job.newest_term, event.term);
+  job.reported_term = std::max(job.reported_term, event.term);
   if (event.deposed || event.endpoint.empty()) return;
   job.silent_for = event.silent_for;
   job.silent_endpoint = event.endpoint;
@@ -160,11 +161,16 @@
   switch (job->stage) {
     case Stage::kIdle:
       return;
+    case Stage::kAskingOthers:
+      if (overdue) OnOthersAnswered(group, job);
+      return;
     case Stage::kReadingClaim:
     case Stage::kClaiming:
       if (overdue) GiveUp(group, job, "store did not answer");
       return;
     case Stage::kProbing:
+      if (!overdue || EndIfLed(group, job)) return;
+      return GiveUp(group, job, "a replica did not answer");
     case Stage::kPausing:
       if (overdue) GiveUp(group, job, "a replica did not answer");
       return;
@@ -190,6 +196,7 @@
   const auto trigger = FindTrigger(group, *job);
   if (trigger.empty()) {
     job->suspected_since = {};
+    job->others_asked = false;
     std::erase_if(m_missing_replicas[group], [&](const auto& item) {
       return now - item.second > kReplicaCatchUpTime;
     });
@@ -207,6 +214,10 @@
                 {"reason", trigger},
                 {"silent_ms", log::MillisecondsText(job->silent_for)}});
   }
+  const auto& row = m_directory->groups.at(group);
+  if (!job->others_asked && !row.other_primaries.empty()) {
+    return StartAskingOthers(job, row);
+  }
   Duration grace{};
   if (trigger == kReasonNoPrimary) {
     grace = job->known_primary.empty() ? kFirstPrimaryGracePeriod
@@ -247,12 +258,61 @@
   }
 }
 
+void PrimaryFailover::StartAskingOthers(Job* job, const relay::Group& row) {
+  job->stage = Stage::kAskingOthers;
+  job->stage_deadline = m_clock->Now() + kProbeTimeout;
+  job->others_asked = true;
+  job->leader.clear();
+  job->old_primary = row.primary;
+  job->unanswered_probes.clear();
+  for (const auto& id : row.other_primaries) {
+    job->unanswered_probes.insert(id);
+    SendAdminRequest(row.name, id, relay::Verb::kStatus, 0);
+  }
+}
+
+void PrimaryFailover::OnOthersAnswered(const GroupId& group, Job* job) {
+  if (EndIfLed(group, job)) return;
+  job->stage = Stage::kIdle;
+}
+
+void PrimaryFailover::RecordLeader(const relay::AdminDone& event,
+                                   const EndpointId& primary, Job* job) {
+  const auto& status = event.result.status;
+  if (!status || !status->primary || event.endpoint == primary) return;
+  if (!job->leader.empty() && status->term <= job->leader_term) return;
+  job->leader = event.endpoint;
+  job->leader_term = status->term;
+}
+
+// An endpoint that answers as the primary in the newest term leads the group,
+// whatever the rows say: a promotion deposes the primary of the term before.
+bool PrimaryFailover::EndIfLed(const GroupId& group, Job* job) {
+  if (job->leader.empty() || job->leader_term < job->reported_term) {
+    return false;
+  }
+  m_counters->Add("primary_confirmed");
+  log::Event(log::Channel::kFailover, log::Level::kWarn, "primary_confirmed",
+             {{"group", group},
+              {"endpoint", job->leader},
+              {"term", std::to_string(job->leader_term)},
+              {"listed", job->old_primary}});
+  m_confirmed_primaries.emplace_back(group, std::exchange(job->leader, {}));
+  if (job->stage != Stage::kAskingOthers) {
+    GiveUp(group, job, "another endpoint leads the group");
+  }
+  job->stage = Stage::kIdle;
+  job->suspected_since = {};
+  return true;
+}
+
 // Probes all replicas before anything is changed: a host that reaches only some
 // of them could not complete the failover.
 void PrimaryFailover::StartProbe(const GroupId& group, Job* job) {
   job->stage = Stage::kProbing;
   job->stage_deadline = m_clock->Now() + kProbeTimeout;
   job->pause_term = 0;
+  job->leader.clear();
   job->unanswered_probes.clear();
   job->seen_endpoints.clear();
   job->old_primary = m_directory->groups.at(group).primary;
@@ -273,10 +333,11 @@
 void PrimaryFailover::OnProbeAnswered(const GroupId& group, Job* job,
                                       const relay::AdminDone& event) {
   if (!event.answered) {
+    if (EndIfLed(group, job)) return;
     return GiveUp(group, job, event.endpoint + " did not answer");
   }
   job->unanswered_probes.erase(event.endpoint);
-  if (!job->unanswered_probes.empty()) return;
+  if (!job->unanswered_probes.empty() || EndIfLed(group, job)) return;
   job->stepped_down_at.reset();
   return job->old_primary.empty() ? StartPause(group, job)
                                   : StartStepDown(group, job);
@@ -346,10 +407,16 @@
     return;
   }
   if (event.result.status) {
-    job.newest_term = std::max({job.newest_term, event.result.status->term,
-                                event.result.status->received.term});
+    job.reported_term = std::max({job.reported_term, event.result.status->term,
+                                  event.result.status->received.term});
+    job.newest_term = std::max(job.newest_term, job.reported_term);
   }
   if (pending_request.verb == relay::Verb::kStatus) {
+    RecordLeader(event, job.old_primary, &job);
+    if (job.stage == Stage::kAskingOthers) {
+      job.unanswered_probes.erase(event.endpoint);
+      if (job.unanswered_probes.empty()) OnOthersAnswered(group, &job);
+    }
     if (job.stage == Stage::kProbing) OnProbeAnswered(group, &job, event);
     return;
   }
@@ -396,9 +463,19 @@
   if (event.answered) {
     job.newest_term = std::max(job.newest_term, job.pause_term);
   }
+  if (status && status->primary) {
+    // It was promoted meanwhile, or leads an older term.
+    RecordLeader(event, job.old_primary, &job);
+    if (EndIfLed(group, &job)) return;
+  }
   if (++job.pause_refusals >= kMaxPauseRefusals) {
     return GiveUp(group, &job, "a replica did not pause");
   }
+  if (status && status->primary) {
+    job.pause_term = std::max(job.pause_term, job.newest_term + 1);
+    return SendAdminRequest(group, event.endpoint, relay::Verb::kStepDown,
+                            job.pause_term);
+  }
   SendPause(group, event.endpoint, &job);
 }
 
@@ -485,6 +562,11 @@
   }
 }
 
+std::vector<std::pair<GroupId, EndpointId>>
+PrimaryFailover::TakeConfirmedPrimaries() {
+  return std::exchange(m_confirmed_primaries, {});
+}
+
 void PrimaryFailover::SendAdminRequest(const GroupId& group,
                                        const EndpointId& endpoint,
                                        relay::Verb verb, Term term) {
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -74,10 +74,14 @@
   // Returns the promotions accepted since the last call, as pairs of group and
   // target.
   std::vector<std::pair<GroupId, EndpointId>> TakePromotions();
+  // Returns the endpoints that have answered as the primary although the
+  // directory names another one, since the last call.
+  std::vector<std::pair<GroupId, EndpointId>> TakeConfirmedPrimaries();
 
  private:
   enum class Stage {
     kIdle,
+    kAskingOthers,  // whether another endpoint that says so is the primary
     kReadingClaim,
     kClaiming,
     kProbing,
@@ -116,6 +120,15 @@
     // Replicas that were probed, and those of them that have not answered.
     std::set<EndpointId> probed_replicas;
     std::set<EndpointId> unanswered_probes;
+    // Whether the other endpoints that report themselves as primary were asked
+    // since the primary is suspected.
+    bool others_asked = false;
+    // The endpoint that answered a probe as the primary, with its term.
+    EndpointId leader;
+    Term leader_term = 0;
+    // The newest term that endpoints of the group have reported. Unlike
+    // newest_term it contains no term that was only requested.
+    Term reported_term = 0;
     // This host may have left replicas paused.
     bool may_have_left_paused = false;
     // Position at which the old primary stepped down.
@@ -162,6 +175,15 @@
   void PauseNewReplicas(const GroupId& group, Job* job);
   void RecordMissingReplicas(const relay::DirectoryPtr& old);
   bool HasMissingReplica(const GroupId& group);
+  // Asks the other endpoints whose rows name them the primary. Needs no claim,
+  // since nothing is changed.
+  void StartAskingOthers(Job* job, const relay::Group& row);
+  void OnOthersAnswered(const GroupId& group, Job* job);
+  void RecordLeader(const relay::AdminDone& event, const EndpointId& primary,
+                    Job* job);
+  // Ends the job if an endpoint has answered that it leads the newest term.
+  // Returns false if there is none.
+  bool EndIfLed(const GroupId& group, Job* job);
   void StartProbe(const GroupId& group, Job* job);
   void OnProbeAnswered(const GroupId& group, Job* job,
                        const relay::AdminDone& event);
@@ -197,6 +219,7 @@
   bool m_reading_claims = false;
   bool m_tables_current = false;
   std::vector<std::pair<GroupId, EndpointId>> m_promotions;
+  std::vector<std::pair<GroupId, EndpointId>> m_confirmed_primaries;
   std::vector<peer::StepDownRequest> m_step_down_requests;
   std::vector<Action> m_actions;
 };
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -202,11 +202,8 @@
               {"held", std::to_string(ConnectionsAt(connection->endpoint))}});
   if (!pool_host_id.empty()) {
     AvoidPool(pool_host_id, event.detail);
-  } else if (event.refusal == Refusal::kNone) {
-    health.RecordFailure(Now());
   } else {
-    health.RecordAnswer(Now());
-    health.RecordConnectionLimit(Now());
+    health.RecordConnectionRefused(event.refusal, Now());
   }
   m_connections.erase(event.connection);
   DispatchWaiting(group);
--- a/Source/Relay/endpoint_health.cc
+++ b/Source/Relay/endpoint_health.cc
@@ -51,7 +51,11 @@
   m_backoff_until = std::max(m_backoff_until, now + kBusyBackoff);
 }
 
-void EndpointHealth::RecordConnectionLimit(Instant now) {
+void EndpointHealth::RecordConnectionRefused(Refusal refusal, Instant now) {
+  if (refusal == Refusal::kNone || refusal == Refusal::kMisrouted) {
+    return RecordFailure(now);
+  }
+  RecordAnswer(now);
   m_connection_limit_until = now + kConnectionLimitBackoff;
   m_connection_retry_at = now + kConnectionRetryDelay;
 }
--- a/Source/Relay/endpoint_health.h
+++ b/Source/Relay/endpoint_health.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Common/types.h"
+#include "Relay/relay_types.h"
 
 namespace tiller::relay {
 
@@ -37,8 +38,10 @@
   bool RefusedRecently(Instant now) const {
     return now < m_connection_retry_at;
   }
-  // The endpoint refused a connection because it was at its limit.
-  void RecordConnectionLimit(Instant now);
+  // A connection attempt was refused; kNone if nothing answered at the address.
+  // An endpoint that is misrouted counts as silent, since another one answers
+  // at its address. Other refusals are answers of an endpoint at its limit.
+  void RecordConnectionRefused(Refusal refusal, Instant now);
 
   Duration ResponseTime() const { return m_response_time; }
   // Estimate of how far the replica's log is behind the primary's.
--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -134,6 +134,8 @@
   GroupId name;
   std::size_t max_connections = 0;  // per endpoint, from all hosts together
   EndpointId primary;               // empty: unknown
+  // Other endpoints whose rows say that they are the primary.
+  std::vector<EndpointId> other_primaries;
 };
 
 struct Endpoint {
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -348,13 +348,7 @@
              {{"endpoint", endpoint},
               {"code", std::string(NameOf(kRefusalNames, event.refusal))},
               {"detail", event.detail}});
-  auto& health = m_health[endpoint];
-  if (event.refusal == Refusal::kNone) {
-    health.RecordFailure(Now());
-  } else {
-    health.RecordAnswer(Now());
-    health.RecordConnectionLimit(Now());
-  }
+  m_health[endpoint].RecordConnectionRefused(event.refusal, Now());
   DispatchWaiting(endpoint);
 }
 
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -412,6 +412,23 @@
   EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
 }
 
+// Another endpoint answered at the address of the listed primary. Its refusals
+// counted as answers of the primary, so the group was never given another one.
+TEST(Connections, PrimaryWhoseAddressIsAnothersCountsAsSilent) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.refuse_connections = true;
+  bench.connection_refusal = Refusal::kMisrouted;
+  for (int i = 0; i < 50; ++i) {
+    bench.Submit(session, Verb::kWrite, "WRITE a x");
+    bench.Tick(Milliseconds(20));
+    bench.TakeAnswer(session);
+  }
+  ASSERT_FALSE(bench.health.empty());
+  EXPECT_EQ(bench.health.back().endpoint, "p");
+  EXPECT_GE(bench.health.back().silent_for, Milliseconds(600));
+}
+
 TEST(Waiting, RequestWithoutAConnectionIsRefusedAfterItsWaitLimit) {
   RelayBench bench;
   bench.refuse_connections = true;
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -105,6 +105,14 @@
   PutRow("endpoints", id, ToText(value));
 }
 
+void FleetSimulation::WriteStrayEndpointRow(const EndpointId& id, bool primary,
+                                            bool leaving) {
+  Json::Value value;
+  value["primary"] = primary;
+  value["leaving"] = leaving;
+  PutRow("endpoints", id, ToText(value));
+}
+
 void FleetSimulation::PutRow(const std::string& table, const std::string& key,
                              const std::string& value) {
   const Row row{key, value, ++m_version, false};
@@ -184,23 +192,7 @@
     for (int i = 0; i < HostCount(); ++i) {
       if (frozen.count(i) > 0) continue;
       auto& core = *m_hosts[static_cast<std::size_t>(i)]->core;
-      relay::PrimaryHealth health;
-      health.group = kGroup;
-      for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.alive) health.term = std::max(health.term, endpoint.term);
-      }
-      if (CannotReachPrimary(i)) {
-        health.endpoint = m_primary_id;
-        health.silent_for = Milliseconds(700);
-      }
-      const auto& primary_endpoint = m_endpoints.at(m_primary_id);
-      if (!CannotReachPrimary(i) &&
-          primary_endpoint.paused_below > primary_endpoint.term) {
-        // The endpoint has stepped down and rejects callers as not primary.
-        health.endpoint = m_primary_id;
-        health.deposed = true;
-      }
-      core.Handle(health);
+      core.Handle(HealthSeenBy(i));
       core.Handle(TimerFired{});
       ExecuteActions(i);
     }
@@ -321,6 +313,36 @@
          (primary_partly_unreachable && host % 2 == 1);
 }
 
+// What the host's traffic reports of the endpoint that it takes for the
+// primary.
+relay::PrimaryHealth FleetSimulation::HealthSeenBy(int host) const {
+  relay::PrimaryHealth health;
+  health.group = kGroup;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.alive) health.term = std::max(health.term, endpoint.term);
+  }
+  const auto directory = DirectoryOf(host);
+  const auto used = directory == nullptr ? EndpointId()
+                                         : directory->groups.at(kGroup).primary;
+  if (!used.empty() && m_endpoints.count(used) == 0) {
+    health.endpoint = used;
+    health.silent_for = Milliseconds(700);
+    return health;
+  }
+  if (CannotReachPrimary(host)) {
+    health.endpoint = m_primary_id;
+    health.silent_for = Milliseconds(700);
+    return health;
+  }
+  const auto& primary_endpoint = m_endpoints.at(m_primary_id);
+  if (primary_endpoint.paused_below > primary_endpoint.term) {
+    // The endpoint has stepped down and rejects callers as not primary.
+    health.endpoint = m_primary_id;
+    health.deposed = true;
+  }
+  return health;
+}
+
 // Simulates commits, replication, and a pending promotion that is due.
 void FleetSimulation::AdvanceGroup() {
   if (m_pending_promotion && clock.Now() >= m_pending_promotion->first) {
@@ -405,14 +427,13 @@
       request.term > endpoint.term) {
     endpoint.paused_below = request.term;
   }
-  bool stepped_down = false;
   if (request.verb == relay::Verb::kStepDown && is_primary &&
       request.term > endpoint.term) {
     // The endpoint stops acting as primary. The group has no active primary
     // until a promotion.
     endpoint.paused_below = request.term;
-    stepped_down = true;
   }
+  const bool stepped_down = endpoint.paused_below > endpoint.term;
   done.result.status = relay::EndpointStatus{is_primary && !stepped_down,
                                              endpoint.term,
                                              {endpoint.term, endpoint.position},
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -48,6 +48,8 @@
   // `padding` bytes make the configuration larger.
   void SetConfig(std::uint64_t version, std::size_t padding = 0);
   void WriteEndpointRow(const EndpointId& id);
+  // Writes the row of an endpoint that does not run.
+  void WriteStrayEndpointRow(const EndpointId& id, bool primary, bool leaving);
 
   int HostCount() const { return static_cast<int>(m_hosts.size()); }
   std::string PrimaryId() const { return m_primary_id; }
@@ -121,6 +123,7 @@
   void AdvanceGroup();
   void MakePrimary(const EndpointId& target);
   bool CannotReachPrimary(int host) const;
+  relay::PrimaryHealth HealthSeenBy(int host) const;
   relay::AdminDone HandleAdmin(int host, const relay::AdminRequest& request);
   PromoteStatus HandlePromote(const Promote& call);
 
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -96,7 +96,7 @@
     if (unresponsive) return;
     if (refuse_connections ||
         OpenConnectionsAt(open->endpoint) >= endpoint_limit) {
-      core.Handle(ConnectionRefused{open->connection, Refusal::kTooMany, ""});
+      core.Handle(ConnectionRefused{open->connection, connection_refusal, ""});
       return;
     }
     m_connections[open->connection] = {open->endpoint, open->workspace};
--- a/Source/UnitTests/Support/relay_bench.h
+++ b/Source/UnitTests/Support/relay_bench.h
@@ -69,6 +69,7 @@
   // Each endpoint refuses connections above this number.
   std::size_t endpoint_limit = 1000;
   bool refuse_connections = false;
+  Refusal connection_refusal = Refusal::kTooMany;
   // Endpoints do not answer connection attempts at all.
   bool unresponsive = false;
   // Actions of the core, as received by the bench.
