Check the key at each statement of an open transaction

Cause: the key was checked when a session is opened and when an operation begins, not inside a transaction.

Evidence: the new test saw the statement sent to the endpoint, for a key that was withdrawn and for one that was moved to another workspace.

Change: a statement of a transaction whose key no longer belongs to its workspace is refused with NOAUTH and not run, and the transaction is rolled back. ROLLBACK is still answered. Changed routes apply from the next transaction as before.

--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -78,6 +78,9 @@
   void StartOperation(Session* session, const StatementReceived& event);
   void StartRequest(Session* session, const StatementReceived& event);
   Refusal CheckRoute(Session* session) const;
+  // True if the session's key still belongs to the workspace of its open
+  // transaction.
+  bool KeyHolds(const Session& session) const;
   // Decides whether the statement retries the session's last operation, and
   // updates `session->operation` accordingly.
   void DetectRetry(Session* session);
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -30,6 +30,9 @@
 // to retry.
 constexpr double kFailoverWaitShare = 0.45;
 
+// Workspace of sessions without a known key, on routes that are open to all.
+constexpr char kNoWorkspace[] = "-";
+
 // True if the refusal guarantees that the attempt had no effect and invites the
 // caller to retry.
 bool GuaranteesNoEffect(Refusal refusal) {
@@ -84,7 +87,7 @@
   session.id = event.session;
   session.database = event.database;
   session.key = event.key;
-  session.workspace = known ? key->second : WorkspaceId("-");
+  session.workspace = known ? key->second : WorkspaceId(kNoWorkspace);
   session.route = route->second;
   session.last_active = Now();
   m_counters->Add("sessions_opened");
@@ -223,10 +226,18 @@
   const auto key = m_directory->keys.find(session->key);
   const bool known = key != m_directory->keys.end();
   if (!known && !route->second.open) return Refusal::kNoAuth;
-  session->workspace = known ? key->second : WorkspaceId("-");
+  session->workspace = known ? key->second : WorkspaceId(kNoWorkspace);
   return Refusal::kNone;
 }
 
+// A changed route applies from the next transaction, a withdrawn or moved key
+// at once.
+bool RelayCore::KeyHolds(const Session& session) const {
+  if (session.workspace == kNoWorkspace) return true;
+  const auto key = m_directory->keys.find(session.key);
+  return key != m_directory->keys.end() && key->second == session.workspace;
+}
+
 void RelayCore::DetectRetry(Session* session) {
   auto& operation = session->operation;
   const auto& request = *session->request;
@@ -307,6 +318,11 @@
     EndTransaction(session, TxState::kIdle);
     return AnswerLocally(session);
   }
+  if (!KeyHolds(*session)) {
+    EndTransaction(session,
+                   verb == Verb::kCommit ? TxState::kIdle : TxState::kFailed);
+    return Refuse(session, Refusal::kNoAuth, "key was withdrawn");
+  }
   if (ExitsBeforeAnswer(request)) {
     EndTransaction(session,
                    verb == Verb::kCommit ? TxState::kIdle : TxState::kFailed);
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -52,6 +52,33 @@
   EXPECT_TRUE(bench.PendingStatements().empty());
 }
 
+// A caller went on reading with a withdrawn key for as long as it kept its
+// transaction open.
+TEST(Sessions, WithdrawnKeyIsRefusedInsideATransaction) {
+  for (const bool moved : {false, true}) {
+    RelayBench bench;
+    const auto session = bench.Open("strict");
+    bench.Submit(session, Verb::kBegin, "BEGIN");
+    bench.TakeAnswer(session);
+    bench.Submit(session, Verb::kRead, "READ a");
+    bench.CompleteInternal();
+    bench.CompleteNext();
+    ASSERT_TRUE(bench.TakeAnswer(session)->Ok());
+    auto directory = bench.MakeDirectory();
+    directory.keys.erase("k1");
+    if (moved) directory.keys["k1"] = "w2";
+    bench.Publish(directory);
+    bench.Submit(session, Verb::kRead, "READ b");
+    const auto refused = bench.TakeAnswer(session);
+    ASSERT_TRUE(refused) << moved;
+    EXPECT_EQ(refused->refusal, Refusal::kNoAuth);
+    EXPECT_EQ(refused->state, TxState::kFailed);
+    ASSERT_EQ(bench.PendingStatements().size(), 1U);
+    EXPECT_EQ(bench.PendingStatements()[0].statement.statement.verb,
+              Verb::kRollback);
+  }
+}
+
 // Regression test. After a refused ROLLBACK the connection was reused, and its
 // next session was treated as being inside a transaction. Seen as PINNED on a
 // variant of lfsc-quotes with 40 workspaces (scale-2).
