--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -73,6 +73,8 @@
   // ---- sessions (session_flow.cc)
   void HandleLocal(Session* session, const StatementReceived& event);
   void HandleInTransaction(Session* session, const StatementReceived& event);
+  void RefuseInTransaction(Session* session, Refusal refusal,
+                           const std::string& reason);
   void HandleFailedTransaction(Session* session,
                                const StatementReceived& event);
   void StartOperation(Session* session, const StatementReceived& event);
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -307,26 +307,19 @@
   StartRequest(session, event);
   auto& request = *session->request;
   const auto verb = event.statement.verb;
-  if (session->tx_lost) {
-    EndTransaction(session,
-                   verb == Verb::kRollback ? TxState::kIdle : TxState::kFailed);
-    if (verb == Verb::kRollback) return AnswerLocally(session);
-    if (verb == Verb::kCommit) session->state = TxState::kIdle;
-    return Refuse(session, Refusal::kAborted, "transaction was rolled back");
-  }
   if (verb == Verb::kRollback) {
     EndTransaction(session, TxState::kIdle);
     return AnswerLocally(session);
   }
+  if (session->tx_lost) {
+    return RefuseInTransaction(session, Refusal::kAborted,
+                               "transaction was rolled back");
+  }
   if (!KeyHolds(*session)) {
-    EndTransaction(session,
-                   verb == Verb::kCommit ? TxState::kIdle : TxState::kFailed);
-    return Refuse(session, Refusal::kNoAuth, "key was withdrawn");
+    return RefuseInTransaction(session, Refusal::kNoAuth, "key was withdrawn");
   }
   if (ExitsBeforeAnswer(request)) {
-    EndTransaction(session,
-                   verb == Verb::kCommit ? TxState::kIdle : TxState::kFailed);
-    return Refuse(session, Refusal::kAborted, "host is stopping");
+    return RefuseInTransaction(session, Refusal::kAborted, "host is stopping");
   }
   if (verb == Verb::kBegin || verb == Verb::kBeginRead ||
       verb == Verb::kInvalid) {
@@ -345,6 +338,14 @@
   Dispatch(session);
 }
 
+// Rolls the transaction back and refuses its statement, which was not sent.
+void RelayCore::RefuseInTransaction(Session* session, Refusal refusal,
+                                    const std::string& reason) {
+  const bool commit = session->request->statement.verb == Verb::kCommit;
+  EndTransaction(session, commit ? TxState::kIdle : TxState::kFailed);
+  Refuse(session, refusal, reason);
+}
+
 void RelayCore::HandleFailedTransaction(Session* session,
                                         const StatementReceived& event) {
   StartRequest(session, event);
