Compare the old primary's log after a replica has left

Cause: the listed replicas were taken to have every acknowledged commit. A replica that has left may have been the only one that received some. The position at which the primary stepped down was discarded unless the primary was leaving.

Evidence: failover_chosen now names the old primary's position and the replicas that are gone: position=2.246, old_primary=2.309, gone=1.

Change: for 30 s after a replica has left, and while one is missing, the old primary is promoted again if no replica reaches the end of its log.

--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -37,7 +37,7 @@
 // this time.
 constexpr Milliseconds kLogDeliveryTime{15};
 // After this many reverted failovers, the best replica is promoted even if it
-// lacks entries of the old primary.
+// lacks entries of the old primary, unless they may be acknowledged.
 constexpr int kMaxReverts = 2;
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetryInterval{600};
@@ -49,6 +49,10 @@
 constexpr Milliseconds kMissingReplicaTimeout{10'000};
 // After this time a healthy primary has sent its log to the other replicas.
 constexpr Milliseconds kReplicaCatchUpTime{2'000};
+// So long after a replica has left, the end of the old primary's log is
+// compared to those of the other replicas. Longer than partitions usually last,
+// in which the others receive nothing.
+constexpr Milliseconds kDepartedReplicaMemory{30'000};
 Duration RankDelay(std::size_t host_rank) {
   const auto near = std::min(host_rank, kNearHosts);
   const auto far = std::min(host_rank - near, kMaxFarHosts);
@@ -71,13 +75,13 @@
   for (auto& [group, job] : m_jobs) PauseNewReplicas(group, &job);
 }
 
-// Records replicas that were not leaving and whose rows have disappeared.
+// Records replicas whose rows have disappeared.
 void PrimaryFailover::RecordMissingReplicas(const relay::DirectoryPtr& old) {
   if (old != nullptr) {
     for (const auto& [id, endpoint] : old->endpoints) {
-      if (endpoint.primary || endpoint.leaving) continue;
-      if (m_directory->endpoints.count(id) > 0) continue;
-      m_missing_replicas[endpoint.group][id] = m_clock->Now();
+      if (endpoint.primary || m_directory->endpoints.count(id) > 0) continue;
+      auto& gone = endpoint.leaving ? m_departed_replicas : m_missing_replicas;
+      gone[endpoint.group][id] = m_clock->Now();
     }
   }
   for (auto& [group, missing] : m_missing_replicas) {
@@ -87,15 +91,27 @@
   }
 }
 
-// Returns true if a replica is missing that may have acknowledged commits which
-// no other replica has, because it disappeared when the primary was no longer
-// healthy.
-bool PrimaryFailover::HasMissingReplica(const GroupId& group) {
+// Returns true if a replica is gone that may have acknowledged commits which no
+// other replica has: it disappeared when the primary was no longer healthy, or
+// it has just left, and its log with it.
+bool PrimaryFailover::HasGoneReplica(const GroupId& group) {
+  const auto now = m_clock->Now();
   auto& missing = m_missing_replicas[group];
   std::erase_if(missing, [&](const auto& item) {
-    return m_clock->Now() - item.second > kMissingReplicaTimeout;
+    return now - item.second > kMissingReplicaTimeout;
+  });
+  const auto& departed = m_departed_replicas[group];
+  return !missing.empty() ||
+         std::any_of(departed.begin(), departed.end(), [&](const auto& item) {
+           return now - item.second <= kReplicaCatchUpTime;
+         });
+}
+
+bool PrimaryFailover::MayLackCommits(const GroupId& group) {
+  std::erase_if(m_departed_replicas[group], [&](const auto& item) {
+    return m_clock->Now() - item.second > kDepartedReplicaMemory;
   });
-  return !missing.empty();
+  return HasGoneReplica(group) || !m_departed_replicas[group].empty();
 }
 
 // A replica that appears during a failover must not acknowledge commits of the
@@ -350,8 +366,9 @@
   const auto& primary = job->old_primary;
   job->stage = Stage::kSteppingDown;
   job->stage_deadline =
-      m_clock->Now() + (job->reason == kReasonLeaving ? kStepDownTimeout
-                                                      : kSilentStepDownTimeout);
+      m_clock->Now() + (job->reason == kReasonLeaving || MayLackCommits(group)
+                            ? kStepDownTimeout
+                            : kSilentStepDownTimeout);
   job->stepped_down_at.reset();
   job->pause_term = std::max(job->pause_term, job->newest_term + 1);
   SendAdminRequest(group, primary, relay::Verb::kStepDown, job->pause_term);
@@ -368,12 +385,16 @@
 }
 
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
-  // A primary that stepped down has reported the end of its log, so missing
-  // replicas do not matter then.
-  if (!job->stepped_down_at && HasMissingReplica(group)) {
-    return GiveUp(group, job, "a replica that may hold commits is missing");
-  }
-  if (job->reason != kReasonLeaving) job->stepped_down_at.reset();
+  // A primary that stepped down has reported the end of its log, which the
+  // other replicas are compared to.
+  if (!job->stepped_down_at && HasGoneReplica(group)) {
+    return GiveUp(group, job, "a replica that may have commits is gone");
+  }
+  // Otherwise the listed replicas together have all acknowledged commits, and
+  // the end of the primary's log does not matter.
+  const bool compare_to_primary =
+      job->reason == kReasonLeaving || MayLackCommits(group);
+  if (!compare_to_primary) job->stepped_down_at.reset();
   job->stage = Stage::kPausing;
   job->stage_deadline = m_clock->Now() + kPauseTimeout;
   job->pause_answers.clear();
@@ -505,11 +526,11 @@
                          return preference(a.first) < preference(b.first);
                        });
   job->target = best->first;
-  const bool has_all_commits = job->reason != kReasonLeaving ||
-                               !job->stepped_down_at ||
-                               best->second->received >= *job->stepped_down_at;
+  const bool has_all_commits =
+      !job->stepped_down_at || best->second->received >= *job->stepped_down_at;
+  const bool may_revert = job->reverts < kMaxReverts || MayLackCommits(group);
   if (!has_all_commits && primary != m_directory->endpoints.end() &&
-      job->reverts < kMaxReverts) {
+      may_revert) {
     ++job->reverts;
     job->target = primary->first;
     m_counters->Add("failover_reverted");
@@ -517,13 +538,20 @@
   job->stage = Stage::kPromoting;
   job->stage_deadline = m_clock->Now() + kPromoteTimeout;
   job->promote_outstanding = false;
-  log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_chosen",
-             {{"group", group},
-              {"target", job->target},
-              {"position", std::to_string(best->second->received.term) + "." +
-                               std::to_string(best->second->received.position)},
-              {"replicas", std::to_string(job->pause_answers.size())},
-              {"token", std::to_string(job->claim.token)}});
+  log::Event(
+      log::Channel::kFailover, log::Level::kInfo, "failover_chosen",
+      {{"group", group},
+       {"target", job->target},
+       {"position", std::to_string(best->second->received.term) + "." +
+                        std::to_string(best->second->received.position)},
+       {"replicas", std::to_string(job->pause_answers.size())},
+       {"old_primary", job->stepped_down_at
+                           ? std::to_string(job->stepped_down_at->term) + "." +
+                                 std::to_string(job->stepped_down_at->position)
+                           : "unknown"},
+       {"gone", std::to_string(m_missing_replicas[group].size() +
+                               m_departed_replicas[group].size())},
+       {"token", std::to_string(job->claim.token)}});
   SendPromote(group, job);
 }
 
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -174,7 +174,9 @@
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewReplicas(const GroupId& group, Job* job);
   void RecordMissingReplicas(const relay::DirectoryPtr& old);
-  bool HasMissingReplica(const GroupId& group);
+  bool HasGoneReplica(const GroupId& group);
+  // True if a commit may have been acknowledged that no listed replica has.
+  bool MayLackCommits(const GroupId& group);
   // Asks the other endpoints whose rows name them the primary. Needs no claim,
   // since nothing is changed.
   void StartAskingOthers(Job* job, const relay::Group& row);
@@ -205,8 +207,11 @@
   Counters* const m_counters;
   relay::DirectoryPtr m_directory;
   std::map<GroupId, Job> m_jobs;
-  // Replicas whose rows disappeared, and when; see HasMissingReplica.
+  // Replicas whose rows disappeared, and when; see HasGoneReplica.
   std::map<GroupId, std::map<EndpointId, Instant>> m_missing_replicas;
+  // Replicas that have left. Until then they counted for acknowledgements, and
+  // their logs are gone with them.
+  std::map<GroupId, std::map<EndpointId, Instant>> m_departed_replicas;
   // Administrative requests that have not been answered.
   struct PendingAdminRequest {
     GroupId group;
--- a/Source/Fleet/table_replication.h
+++ b/Source/Fleet/table_replication.h
@@ -11,8 +11,7 @@
 //   make older copies look recent.
 // - A long poll does not show whether the store answers. Readers check that at
 //   short intervals and tell each other and their subscribers.
-// - A host that is asked becomes a reader even if it did not choose itself,
-// since
+// - A host that is asked becomes a reader even if it did not choose itself:
 //   views of the fleet may differ for a while.
 // - Changes above a size are only announced; each host reads them from the
 //   store.
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -261,6 +261,38 @@
   }
 }
 
+// A primary whose commits only a leaving replica had received was replaced by a
+// replica without them once that one had left, although it answered with the
+// end of its log.
+TEST(Failover, CommitsThatOnlyALeavingReplicaReceivedAreKept) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    FleetSimulation simulation(5, 3, seed);
+    simulation.Run(seconds(20));
+    auto& leaving = simulation.Endpoints().at("e2");
+    leaving.leaving = true;
+    simulation.WriteEndpointRow("e2");
+    simulation.Endpoints().at("e1").replication_cut = true;
+    simulation.Run(seconds(1));
+    leaving.alive = false;
+    simulation.WriteEndpointRow("e2");
+    simulation.writes_unanswered = true;
+    simulation.Run(seconds(7));
+    EXPECT_TRUE(simulation.violations.empty())
+        << "seed " << seed << ": " << simulation.TraceText();
+    simulation.writes_unanswered = false;
+    simulation.Endpoints().at("e1").replication_cut = false;
+    simulation.Run(seconds(10));
+    EXPECT_TRUE(simulation.AllReplicasResumed());
+    // A later failover is not held up.
+    const auto primary = simulation.PrimaryId();
+    simulation.Endpoints().at(primary).alive = false;
+    simulation.WriteEndpointRow(primary);
+    simulation.Run(seconds(5));
+    EXPECT_NE(simulation.PrimaryId(), primary);
+    EXPECT_TRUE(simulation.violations.empty()) << seed;
+  }
+}
+
 // Known to fail; see KNOWN-RED.txt. A row of an endpoint that does not run
 // names itself a replica. Each change of primary waits for its answer and is
 // given up.
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -329,7 +329,7 @@
     health.silent_for = Milliseconds(700);
     return health;
   }
-  if (CannotReachPrimary(host)) {
+  if (CannotReachPrimary(host) || writes_unanswered) {
     health.endpoint = m_primary_id;
     health.silent_for = Milliseconds(700);
     return health;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -74,6 +74,8 @@
   std::uint64_t lose_one_answer_in = 0;
   // Some hosts get no answer from the primary.
   bool primary_partly_unreachable = false;
+  // The primary answers, but leaves writes unanswered.
+  bool writes_unanswered = false;
   std::vector<std::string> violations;
   int promotions = 0;
   // Calls of all hosts to the store.
