--- a/Source/UnitTests/Traffic/traffic_core_test.cc
+++ b/Source/UnitTests/Traffic/traffic_core_test.cc
@@ -27,6 +27,18 @@
   ErrorCode CodeOf(const std::optional<traffic::Reply>& reply) {
     return reply && reply->error ? reply->error->code : ErrorCode::kCount;
   }
+  // Begins a transaction on host 0 and makes a request for its first statement.
+  void BeginTransaction(const std::string& workspace,
+                        traffic::CallerRequest* step) {
+    *step = m_simulation.MakeIncrement(workspace, "a");
+    auto begin = *step;
+    begin.kind = RequestKind::kBegin;
+    begin.statements.clear();
+    const auto begun = m_simulation.Call(0, begin);
+    ASSERT_TRUE(begun && !begun->error);
+    step->kind = RequestKind::kTransactionExecute;
+    step->transaction = StringOr(ParseJson(begun->body).value(), "transaction");
+  }
   ServiceSimulation m_simulation;
 };
 
@@ -178,14 +190,8 @@
 }
 
 TEST_F(TrafficTest, TransactionIsRolledBackWhenItsKeyIsWithdrawn) {
-  auto begin = m_simulation.MakeIncrement("w2", "a");
-  begin.kind = RequestKind::kBegin;
-  begin.statements.clear();
-  const auto begun = m_simulation.Call(0, begin);
-  ASSERT_TRUE(begun && !begun->error);
-  auto step = m_simulation.MakeIncrement("w2", "a");
-  step.kind = RequestKind::kTransactionExecute;
-  step.transaction = StringOr(ParseJson(begun->body).value(), "transaction");
+  traffic::CallerRequest step;
+  ASSERT_NO_FATAL_FAILURE(BeginTransaction("w2", &step));
   ASSERT_FALSE(m_simulation.Call(0, step)->error);
   Json::Value arguments;
   arguments["name"] = "w2-key";
@@ -201,14 +207,8 @@
 // A host that was being stopped took requests until its drain limit and closed
 // the connections of those in progress without an answer.
 TEST_F(TrafficTest, RequestThatCannotBeAnsweredBeforeTheExitIsRefused) {
-  auto begin = m_simulation.MakeIncrement("w1", "a");
-  begin.kind = RequestKind::kBegin;
-  begin.statements.clear();
-  const auto begun = m_simulation.Call(0, begin);
-  ASSERT_TRUE(begun && !begun->error);
-  auto step = m_simulation.MakeIncrement("w1", "a");
-  step.kind = RequestKind::kTransactionExecute;
-  step.transaction = StringOr(ParseJson(begun->body).value(), "transaction");
+  traffic::CallerRequest step;
+  ASSERT_NO_FATAL_FAILURE(BeginTransaction("w1", &step));
   step.deadline = seconds(2);
   m_simulation.Traffic(0).Handle(traffic::DrainStarted{seconds(4)});
   m_simulation.RunFor(seconds(1));
@@ -224,14 +224,8 @@
 }
 
 TEST_F(TrafficTest, LostCommitAnswerIsResolvedFromItsRecordOnAnotherHost) {
-  auto begin = m_simulation.MakeIncrement("w1", "a");
-  begin.kind = RequestKind::kBegin;
-  begin.statements.clear();
-  const auto begun = m_simulation.Call(0, begin);
-  ASSERT_TRUE(begun && !begun->error);
-  auto step = m_simulation.MakeIncrement("w1", "a");
-  step.kind = RequestKind::kTransactionExecute;
-  step.transaction = StringOr(ParseJson(begun->body).value(), "transaction");
+  traffic::CallerRequest step;
+  ASSERT_NO_FATAL_FAILURE(BeginTransaction("w1", &step));
   ASSERT_FALSE(m_simulation.Call(0, step)->error);
   auto commit = step;
   commit.kind = RequestKind::kCommit;
