--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -27,7 +27,6 @@
 constexpr Milliseconds kNoPrimaryGracePeriod{500};
 // The same at the first start: endpoints report within a few heartbeats.
 constexpr Milliseconds kFirstPrimaryGracePeriod{4'000};
-constexpr Milliseconds kProbeTimeout{500};
 constexpr Milliseconds kPauseTimeout{900};
 constexpr Milliseconds kStepDownTimeout{400};
 // Covers one exchange with another host and one exchange of that host with the
@@ -42,17 +41,7 @@
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetryInterval{600};
 constexpr Milliseconds kPromoteTimeout{12'000};
-// A replica whose row disappeared may still be alive behind a network partition
-// and hold commits that no other endpoint has. The timeout is longer than
-// partitions usually last. After it the replica counts as gone, which is the
-// meaning that the platform gives to missing rows.
-constexpr Milliseconds kMissingReplicaTimeout{10'000};
-// After this time a healthy primary has sent its log to the other replicas.
-constexpr Milliseconds kReplicaCatchUpTime{2'000};
-// So long after a replica has left, the end of the old primary's log is
-// compared to those of the other replicas. Longer than partitions usually last,
-// in which the others receive nothing.
-constexpr Milliseconds kDepartedReplicaMemory{30'000};
+
 Duration RankDelay(std::size_t host_rank) {
   const auto near = std::min(host_rank, kNearHosts);
   const auto far = std::min(host_rank - near, kMaxFarHosts);
@@ -67,7 +56,7 @@
 
 void PrimaryFailover::SetDirectory(relay::DirectoryPtr directory) {
   const auto old = std::exchange(m_directory, std::move(directory));
-  RecordMissingReplicas(old);
+  m_history.Update(old, m_directory);
   // A group that the operator removed needs no failover.
   std::erase_if(m_jobs, [&](const auto& item) {
     return m_directory->groups.count(item.first) == 0;
@@ -75,45 +64,6 @@
   for (auto& [group, job] : m_jobs) PauseNewReplicas(group, &job);
 }
 
-// Records replicas whose rows have disappeared.
-void PrimaryFailover::RecordMissingReplicas(const relay::DirectoryPtr& old) {
-  if (old != nullptr) {
-    for (const auto& [id, endpoint] : old->endpoints) {
-      if (endpoint.primary || m_directory->endpoints.count(id) > 0) continue;
-      auto& gone = endpoint.leaving ? m_departed_replicas : m_missing_replicas;
-      gone[endpoint.group][id] = m_clock->Now();
-    }
-  }
-  for (auto& [group, missing] : m_missing_replicas) {
-    std::erase_if(missing, [&](const auto& item) {
-      return m_directory->endpoints.count(item.first) > 0;
-    });
-  }
-}
-
-// Returns true if a replica is gone that may have acknowledged commits which no
-// other replica has: it disappeared when the primary was no longer healthy, or
-// it has just left, and its log with it.
-bool PrimaryFailover::HasGoneReplica(const GroupId& group) {
-  const auto now = m_clock->Now();
-  auto& missing = m_missing_replicas[group];
-  std::erase_if(missing, [&](const auto& item) {
-    return now - item.second > kMissingReplicaTimeout;
-  });
-  const auto& departed = m_departed_replicas[group];
-  return !missing.empty() ||
-         std::any_of(departed.begin(), departed.end(), [&](const auto& item) {
-           return now - item.second <= kReplicaCatchUpTime;
-         });
-}
-
-bool PrimaryFailover::MayLackCommits(const GroupId& group) {
-  std::erase_if(m_departed_replicas[group], [&](const auto& item) {
-    return m_clock->Now() - item.second > kDepartedReplicaMemory;
-  });
-  return HasGoneReplica(group) || !m_departed_replicas[group].empty();
-}
-
 // A replica that appears during a failover must not acknowledge commits of the
 // old primary.
 void PrimaryFailover::PauseNewReplicas(const GroupId& group, Job* job) {
@@ -213,9 +163,7 @@
   if (trigger.empty()) {
     job->suspected_since = {};
     job->others_asked = false;
-    std::erase_if(m_missing_replicas[group], [&](const auto& item) {
-      return now - item.second > kReplicaCatchUpTime;
-    });
+    m_history.PrimaryAnswers(group);
     if (!job->check_claim_at || now < *job->check_claim_at || m_reading_claims)
       return;
     job->check_claim_at.reset();
@@ -274,91 +222,6 @@
   }
 }
 
-void PrimaryFailover::StartAskingOthers(Job* job, const relay::Group& row) {
-  job->stage = Stage::kAskingOthers;
-  job->stage_deadline = m_clock->Now() + kProbeTimeout;
-  job->others_asked = true;
-  job->leader.clear();
-  job->old_primary = row.primary;
-  job->unanswered_probes.clear();
-  for (const auto& id : row.other_primaries) {
-    job->unanswered_probes.insert(id);
-    SendAdminRequest(row.name, id, relay::Verb::kStatus, 0);
-  }
-}
-
-void PrimaryFailover::OnOthersAnswered(const GroupId& group, Job* job) {
-  if (EndIfLed(group, job)) return;
-  job->stage = Stage::kIdle;
-}
-
-void PrimaryFailover::RecordLeader(const relay::AdminDone& event,
-                                   const EndpointId& primary, Job* job) {
-  const auto& status = event.result.status;
-  if (!status || !status->primary || event.endpoint == primary) return;
-  if (!job->leader.empty() && status->term <= job->leader_term) return;
-  job->leader = event.endpoint;
-  job->leader_term = status->term;
-}
-
-// An endpoint that answers as the primary in the newest term leads the group,
-// whatever the rows say: a promotion deposes the primary of the term before.
-bool PrimaryFailover::EndIfLed(const GroupId& group, Job* job) {
-  if (job->leader.empty() || job->leader_term < job->reported_term) {
-    return false;
-  }
-  m_counters->Add("primary_confirmed");
-  log::Event(log::Channel::kFailover, log::Level::kWarn, "primary_confirmed",
-             {{"group", group},
-              {"endpoint", job->leader},
-              {"term", std::to_string(job->leader_term)},
-              {"listed", job->old_primary}});
-  m_confirmed_primaries.emplace_back(group, std::exchange(job->leader, {}));
-  if (job->stage != Stage::kAskingOthers) {
-    GiveUp(group, job, "another endpoint leads the group");
-  }
-  job->stage = Stage::kIdle;
-  job->suspected_since = {};
-  return true;
-}
-
-// Probes all replicas before anything is changed: a host that reaches only some
-// of them could not complete the failover.
-void PrimaryFailover::StartProbe(const GroupId& group, Job* job) {
-  job->stage = Stage::kProbing;
-  job->stage_deadline = m_clock->Now() + kProbeTimeout;
-  job->pause_term = 0;
-  job->leader.clear();
-  job->unanswered_probes.clear();
-  job->seen_endpoints.clear();
-  job->old_primary = m_directory->groups.at(group).primary;
-  for (const auto& [id, endpoint] : m_directory->endpoints) {
-    if (endpoint.group != group) continue;
-    job->seen_endpoints.insert(id);
-    if (id != job->old_primary) job->unanswered_probes.insert(id);
-  }
-  job->probed_replicas = job->unanswered_probes;
-  if (job->unanswered_probes.empty()) {
-    return GiveUp(group, job, "no replica is listed");
-  }
-  for (const auto& id : job->unanswered_probes) {
-    SendAdminRequest(group, id, relay::Verb::kStatus, 0);
-  }
-}
-
-void PrimaryFailover::OnProbeAnswered(const GroupId& group, Job* job,
-                                      const relay::AdminDone& event) {
-  if (!event.answered) {
-    if (EndIfLed(group, job)) return;
-    return GiveUp(group, job, event.endpoint + " did not answer");
-  }
-  job->unanswered_probes.erase(event.endpoint);
-  if (!job->unanswered_probes.empty() || EndIfLed(group, job)) return;
-  job->stepped_down_at.reset();
-  return job->old_primary.empty() ? StartPause(group, job)
-                                  : StartStepDown(group, job);
-}
-
 // Other hosts are asked to step down the primary as well. This host may be the
 // only one that cannot reach it, and a replica that is not listed yet may
 // acknowledge its commits.
@@ -366,9 +229,10 @@
   const auto& primary = job->old_primary;
   job->stage = Stage::kSteppingDown;
   job->stage_deadline =
-      m_clock->Now() + (job->reason == kReasonLeaving || MayLackCommits(group)
-                            ? kStepDownTimeout
-                            : kSilentStepDownTimeout);
+      m_clock->Now() +
+      (job->reason == kReasonLeaving || m_history.MayLackCommits(group)
+           ? kStepDownTimeout
+           : kSilentStepDownTimeout);
   job->stepped_down_at.reset();
   job->pause_term = std::max(job->pause_term, job->newest_term + 1);
   SendAdminRequest(group, primary, relay::Verb::kStepDown, job->pause_term);
@@ -387,13 +251,13 @@
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
   // A primary that stepped down has reported the end of its log, which the
   // other replicas are compared to.
-  if (!job->stepped_down_at && HasGoneReplica(group)) {
+  if (!job->stepped_down_at && m_history.HasGone(group)) {
     return GiveUp(group, job, "a replica that may have commits is gone");
   }
   // Otherwise the listed replicas together have all acknowledged commits, and
   // the end of the primary's log does not matter.
   const bool compare_to_primary =
-      job->reason == kReasonLeaving || MayLackCommits(group);
+      job->reason == kReasonLeaving || m_history.MayLackCommits(group);
   if (!compare_to_primary) job->stepped_down_at.reset();
   job->stage = Stage::kPausing;
   job->stage_deadline = m_clock->Now() + kPauseTimeout;
@@ -528,7 +392,8 @@
   job->target = best->first;
   const bool has_all_commits =
       !job->stepped_down_at || best->second->received >= *job->stepped_down_at;
-  const bool may_revert = job->reverts < kMaxReverts || MayLackCommits(group);
+  const bool may_revert =
+      job->reverts < kMaxReverts || m_history.MayLackCommits(group);
   if (!has_all_commits && primary != m_directory->endpoints.end() &&
       may_revert) {
     ++job->reverts;
@@ -549,8 +414,7 @@
                            ? std::to_string(job->stepped_down_at->term) + "." +
                                  std::to_string(job->stepped_down_at->position)
                            : "unknown"},
-       {"gone", std::to_string(m_missing_replicas[group].size() +
-                               m_departed_replicas[group].size())},
+       {"gone", std::to_string(m_history.GoneCount(group))},
        {"token", std::to_string(job->claim.token)}});
   SendPromote(group, job);
 }
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -35,6 +35,7 @@
 #include "Common/clock.h"
 #include "Common/counters.h"
 #include "Fleet/fleet_messages.h"
+#include "Fleet/replica_history.h"
 #include "Relay/relay_types.h"
 
 namespace tiller::fleet {
@@ -50,7 +51,8 @@
       : m_self(std::move(self)),
         m_zone(std::move(zone)),
         m_clock(clock),
-        m_counters(counters) {}
+        m_counters(counters),
+        m_history(clock) {}
 
   void SetDirectory(relay::DirectoryPtr directory);
   void Handle(const relay::PrimaryHealth& event);
@@ -173,10 +175,6 @@
   void OnClaimRenewed(const GroupId& group, Job* job, const RowWritten& event);
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewReplicas(const GroupId& group, Job* job);
-  void RecordMissingReplicas(const relay::DirectoryPtr& old);
-  bool HasGoneReplica(const GroupId& group);
-  // True if a commit may have been acknowledged that no listed replica has.
-  bool MayLackCommits(const GroupId& group);
   // Asks the other endpoints whose rows name them the primary. Needs no claim,
   // since nothing is changed.
   void StartAskingOthers(Job* job, const relay::Group& row);
@@ -207,11 +205,7 @@
   Counters* const m_counters;
   relay::DirectoryPtr m_directory;
   std::map<GroupId, Job> m_jobs;
-  // Replicas whose rows disappeared, and when; see HasGoneReplica.
-  std::map<GroupId, std::map<EndpointId, Instant>> m_missing_replicas;
-  // Replicas that have left. Until then they counted for acknowledgements, and
-  // their logs are gone with them.
-  std::map<GroupId, std::map<EndpointId, Instant>> m_departed_replicas;
+  ReplicaHistory m_history;
   // Administrative requests that have not been answered.
   struct PendingAdminRequest {
     GroupId group;
