Promote no endpoint that lacks commits known to be acknowledged

What callers saw: commits that they had been told were done were gone after a change of primary.

Cause: a target was compared with the listed replicas and with a primary that answers, never with what callers had been told. After a replica had left whose log the others lacked, a silent primary was replaced by a replica without it.

Change: hosts note up to which position commits are acknowledged, exchange these positions when a primary is replaced, and keep them in the group's claim. A target below them is not promoted for 30 s.

Why it works: an acknowledged entry is in the log of the primary and of a replica, so waiting for one of them is enough, whatever made the target fall behind.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -34,14 +34,16 @@
 constexpr std::size_t kClaimCheckHosts = 3;
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
-                        StoreTime now, bool finished,
-                        const EndpointId& target) {
+                        StoreTime now, bool finished, const EndpointId& target,
+                        const GroupPosition& acknowledged) {
   Json::Value out;
   out["holder"] = holder;
   out["token"] = Json::UInt64(token);
   out["claimed"] = Json::Int64(now.count());
   out["finished"] = finished;
   out["target"] = target;
+  out["acknowledged_term"] = Json::UInt64(acknowledged.term);
+  out["acknowledged_position"] = Json::UInt64(acknowledged.position);
   return ToText(out);
 }
 
@@ -72,6 +74,8 @@
         StoreTime(static_cast<StoreTime::rep>(UintOr(value, "claimed"))),
         BoolOr(value, "finished"),
         !StringOr(value, "target").empty(),
+        {UintOr(value, "acknowledged_term"),
+         UintOr(value, "acknowledged_position")},
         row.version};
   }
   for (auto& [group, job] : m_jobs) {
@@ -86,6 +90,7 @@
 
 void PrimaryFailover::OnClaimRead(const GroupId& group, Job* job,
                                   const Claim& claim, StoreTime now) {
+  job->acknowledged = std::max(job->acknowledged, claim.acknowledged);
   const bool held_by_other = claim.holder != m_self && !claim.holder.empty();
   const bool no_open_claim = claim.finished || claim.holder.empty();
   if (job->reason == kReasonUnfinished && no_open_claim &&
@@ -107,7 +112,7 @@
     job->next_attempt_at = m_clock->Now() + kRetryBackoff;
     return;
   }
-  job->claim = {m_self, claim.token + 1, now, false, false, claim.version};
+  job->claim = {m_self, claim.token + 1, now, false, false, {}, claim.version};
   job->claim_sent_at = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_deadline = m_clock->Now() + kClaimTimeout;
@@ -121,7 +126,7 @@
   job->pending_calls.push_back(
       WriteRow{0, kPrimaryTable, group,
                EncodeClaim(m_self, job->claim.token, job->claim.claimed_at,
-                           finished, target),
+                           finished, target, job->acknowledged),
                job->claim.version});
 }
 
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -99,7 +99,15 @@
   }
   if (const auto* request =
           std::get_if<peer::StepDownRequest>(&envelope.message)) {
-    return m_failover.Handle(*request);
+    m_failover.Handle(*request);
+    m_actions.push_back(
+        SendPeer{envelope.from_address,
+                 peer::CommitReport{request->group,
+                                    m_failover.Acknowledged(request->group)}});
+    return;
+  }
+  if (const auto* report = std::get_if<peer::CommitReport>(&envelope.message)) {
+    return m_failover.Handle(*report);
   }
   if (const auto* copy = std::get_if<peer::TableCopy>(&envelope.message)) {
     return OnTableContent(m_tables.Handle(*copy));
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -42,6 +42,15 @@
 constexpr Milliseconds kPromoteRetryInterval{600};
 constexpr Milliseconds kPromoteTimeout{12'000};
 
+// A primary that crashed or a replica behind a partition is back within this
+// time. If it is not, the commits that only it has are lost.
+constexpr Milliseconds kMissingCommitsTimeout{30'000};
+
+std::string PositionText(const GroupPosition& position) {
+  return std::to_string(position.term) + "." +
+         std::to_string(position.position);
+}
+
 Duration RankDelay(std::size_t host_rank) {
   const auto near = std::min(host_rank, kNearHosts);
   const auto far = std::min(host_rank - near, kMaxFarHosts);
@@ -88,6 +97,7 @@
   auto& job = m_jobs[event.group];
   job.newest_term = std::max(job.newest_term, event.term);
   job.reported_term = std::max(job.reported_term, event.term);
+  job.acknowledged = std::max(job.acknowledged, event.acknowledged);
   if (event.deposed || event.endpoint.empty()) return;
   job.silent_for = event.silent_for;
   job.silent_endpoint = event.endpoint;
@@ -244,6 +254,16 @@
                    request.term);
 }
 
+void PrimaryFailover::Handle(const peer::CommitReport& report) {
+  auto& acknowledged = m_jobs[report.group].acknowledged;
+  acknowledged = std::max(acknowledged, report.acknowledged);
+}
+
+GroupPosition PrimaryFailover::Acknowledged(const GroupId& group) const {
+  const auto job = m_jobs.find(group);
+  return job == m_jobs.end() ? GroupPosition{} : job->second.acknowledged;
+}
+
 std::vector<peer::StepDownRequest> PrimaryFailover::TakeStepDownRequests() {
   return std::exchange(m_step_down_requests, {});
 }
@@ -399,6 +419,8 @@
     ++job->reverts;
     job->target = primary->first;
     m_counters->Add("failover_reverted");
+  } else if (AwaitsCommits(group, job, best->second->received)) {
+    return GiveUp(group, job, "no endpoint that answers has all commits");
   }
   job->stage = Stage::kPromoting;
   job->stage_deadline = m_clock->Now() + kPromoteTimeout;
@@ -407,18 +429,35 @@
       log::Channel::kFailover, log::Level::kInfo, "failover_chosen",
       {{"group", group},
        {"target", job->target},
-       {"position", std::to_string(best->second->received.term) + "." +
-                        std::to_string(best->second->received.position)},
+       {"position", PositionText(best->second->received)},
+       {"acknowledged", PositionText(job->acknowledged)},
        {"replicas", std::to_string(job->pause_answers.size())},
-       {"old_primary", job->stepped_down_at
-                           ? std::to_string(job->stepped_down_at->term) + "." +
-                                 std::to_string(job->stepped_down_at->position)
-                           : "unknown"},
+       {"old_primary",
+        job->stepped_down_at ? PositionText(*job->stepped_down_at) : "unknown"},
        {"gone", std::to_string(m_history.GoneCount(group))},
        {"token", std::to_string(job->claim.token)}});
   SendPromote(group, job);
 }
 
+bool PrimaryFailover::AwaitsCommits(const GroupId& group, Job* job,
+                                    const GroupPosition& received) {
+  if (received >= job->acknowledged) {
+    job->commits_missing_since.reset();
+    return false;
+  }
+  const auto now = m_clock->Now();
+  if (!job->commits_missing_since) job->commits_missing_since = now;
+  const bool waits = now - *job->commits_missing_since < kMissingCommitsTimeout;
+  m_counters->Add(waits ? "failover_awaits_commits" : "commits_given_up");
+  log::Event(log::Channel::kFailover, log::Level::kWarn,
+             waits ? "commits_awaited" : "commits_given_up",
+             {{"group", group},
+              {"position", PositionText(received)},
+              {"acknowledged", PositionText(job->acknowledged)},
+              {"token", std::to_string(job->claim.token)}});
+  return waits;
+}
+
 void PrimaryFailover::SendPromote(const GroupId& group, Job* job) {
   job->promote_outstanding = true;
   job->next_promote_at = m_clock->Now() + kPromoteRetryInterval;
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -9,6 +9,8 @@
 //   replica. All listed replicas (those with a row in the endpoint table) are
 //   paused before their positions are compared, so no commit can be
 //   acknowledged that the replica with the highest position lacks.
+// - An endpoint is not promoted while it lacks entries that some host knows to
+//   be acknowledged, unless no endpoint that has them answers for a long time.
 // - A primary that still answers at least one host steps down first, because a
 //   replica that is not listed yet might acknowledge its commits. If a leaving
 //   primary holds entries that no listed replica has, it is promoted again and
@@ -62,6 +64,10 @@
   void Handle(const PromoteAnswered& event);
   // Handles a request from another host to step down a primary.
   void Handle(const peer::StepDownRequest& request);
+  void Handle(const peer::CommitReport& report);
+  // All entries of the group's log up to here are acknowledged, as far as this
+  // host knows.
+  GroupPosition Acknowledged(const GroupId& group) const;
   // Set to false while the local copies of the store's tables may be out of
   // date. No failover is started then.
   void SetTablesCurrent(bool current) { m_tables_current = current; }
@@ -97,7 +103,8 @@
     std::uint64_t token = 0;
     StoreTime claimed_at{0};
     bool finished = false;
-    bool promoted = false;  // names a target; if finished, it was promoted
+    bool promoted = false;       // names a target; if finished, it was promoted
+    GroupPosition acknowledged;  // as known to the hosts that have held it
     RowVersion version = 0;
   };
   struct Job {
@@ -137,6 +144,10 @@
     std::optional<GroupPosition> stepped_down_at;
     Instant pause_not_before{};
     int reverts = 0;
+    // All entries up to here are acknowledged; a target must have them.
+    GroupPosition acknowledged;
+    // Since when no endpoint that answers has them.
+    std::optional<Instant> commits_missing_since;
     EndpointId target;
     // Endpoints of the group that this job already knows; others are new.
     std::set<EndpointId> seen_endpoints;
@@ -191,6 +202,10 @@
   void StartPause(const GroupId& group, Job* job);
   void SendPause(const GroupId& group, const EndpointId& endpoint, Job* job);
   void ChooseTarget(const GroupId& group, Job* job);
+  // True if entries that are known to be acknowledged are not in the log up to
+  // `received`, and an endpoint that has them may still come back.
+  bool AwaitsCommits(const GroupId& group, Job* job,
+                     const GroupPosition& received);
   void SendPromote(const GroupId& group, Job* job);
   // Resumes the paused replicas and delays the next attempt.
   void GiveUp(const GroupId& group, Job* job, const std::string& reason);
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -34,7 +34,8 @@
                      "unit_recall",
                      "table_digest",
                      "table_copy",
-                     "step_down_request"};
+                     "step_down_request",
+                     "commit_report"};
 
 constexpr Json::ArrayIndex kMaxListItems = 2048;
 
@@ -233,6 +234,15 @@
   *message = {StringOr(json, "group"), StringOr(json, "endpoint"),
               UintOr(json, "term")};
 }
+void EncodeBody(const CommitReport& message, Json::Value* out) {
+  (*out)["group"] = message.group;
+  (*out)["term"] = JsonUint(message.acknowledged.term);
+  (*out)["position"] = JsonUint(message.acknowledged.position);
+}
+void DecodeBody(const Json::Value& json, CommitReport* message) {
+  *message = {StringOr(json, "group"),
+              {UintOr(json, "term"), UintOr(json, "position")}};
+}
 // Row values are arbitrary bytes, so they are encoded as base64url.
 void EncodeBody(const TableCopy& message, Json::Value* out) {
   (*out)["table"] = message.table;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -149,13 +149,20 @@
   Term term = 0;
 };
 
+// The answer: all entries of the group's log up to this position are
+// acknowledged, as far as the sender has seen.
+struct CommitReport {
+  GroupId group;
+  GroupPosition acknowledged;
+};
+
 using Message =
     std::variant<Gossip, GuardRequest, GuardAck, SeatVouchRequest, SeatVouch,
                  SeatTakeRequest, SeatTakeConsent, ConfigQuery, ConfigAnswer,
                  ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall,
-                 TableDigest, TableCopy, StepDownRequest>;
+                 TableDigest, TableCopy, StepDownRequest, CommitReport>;
 
 struct Envelope {
   HostId from;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -288,6 +288,7 @@
   connection->sent = statement;
   connection->step_sent = Now();
   connection->step_deadline = Now() + limit;
+  connection->log_before = m_groups[connection->group].newest_position;
   action.statement = std::move(statement);
   m_actions.push_back(std::move(action));
 }
@@ -439,6 +440,11 @@
     term_update.term = group.newest_term;
     m_actions.push_back(term_update);
   }
+  group.newest_position = std::max(group.newest_position, *result.position);
+  const auto* primary = PrimaryOf(connection.group);
+  if (primary != nullptr && primary->id != connection.endpoint) {
+    group.acknowledged = std::max(group.acknowledged, *result.position);
+  }
   HealthOf(connection.endpoint)
       .RecordLogPosition(*result.position,
                          group.watermarks.FirstAbove(*result.position), Now());
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -25,6 +25,9 @@
 // control thread, repeatedly.
 constexpr Milliseconds kMinReportedSilence{250};
 constexpr Milliseconds kReportInterval{100};
+// Positions are reported less often: a change of primary asks all hosts for
+// theirs, and each of them knows some of the newest commits.
+constexpr Milliseconds kPositionReportInterval{500};
 // A leaving primary is still used while its successor is promoted. The limit is
 // well below the one on new work at a leaving endpoint.
 constexpr Milliseconds kLeavingPrimaryTimeout{4500};
@@ -351,7 +354,11 @@
     const Duration silent = SilenceOf(name, primary->id);
     state.silent_for = silent;
     const bool is_silent = silent > kMinReportedSilence;
-    if (!is_silent && !state.reported_silent) continue;
+    const bool position_due =
+        group.synchronous &&
+        state.acknowledged != state.reported_acknowledged &&
+        Now() - state.last_report >= kPositionReportInterval;
+    if (!is_silent && !state.reported_silent && !position_due) continue;
     if (is_silent && Now() - state.last_report < kReportInterval) continue;
     state.last_report = Now();
     state.reported_silent = is_silent;
@@ -360,6 +367,8 @@
     report.endpoint = primary->id;
     report.silent_for = is_silent ? silent : Duration{};
     report.term = state.newest_term;
+    if (group.synchronous) report.acknowledged = state.acknowledged;
+    state.reported_acknowledged = state.acknowledged;
     m_actions.push_back(report);
   }
 }
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -149,12 +149,15 @@
 // while the primary answers.
 struct PrimaryHealth {
   GroupId group;
-  EndpointId endpoint;  // empty: the report only carries a newer term
+  EndpointId endpoint;  // empty: the report only carries positions
   Duration silent_for{};
   // The endpoint answered that it is not the primary: another endpoint may have
   // been promoted.
   bool deposed = false;
   Term term = 0;  // highest term seen in the group
+  // All entries up to this position are acknowledged, as far as this host has
+  // seen. Only of groups whose commits are replicated before that.
+  GroupPosition acknowledged;
 };
 
 // Whether this host is cut off from most primaries. While it is, the load
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -130,6 +130,9 @@
   Statement sent;  // statement of the current step
   Instant step_sent;
   Instant step_deadline;
+  // The newest position of the group's log that was known when the statement
+  // was sent.
+  GroupPosition log_before;
   Instant idle_since;
 };
 
@@ -137,6 +140,13 @@
 struct GroupState {
   PositionWatermarks watermarks;
   Term newest_term = 0;
+  // The newest position that an endpoint has reported. Its entry may not be
+  // acknowledged.
+  GroupPosition newest_position;
+  // All entries up to here are acknowledged: a commit above `log_before` was
+  // answered, or a replica has received them.
+  GroupPosition acknowledged;
+  GroupPosition reported_acknowledged;  // as in the last PrimaryHealth report
   // An endpoint that answered that it is not the primary. It is not used as the
   // primary until `deposed_until`; cleared when the directory names another.
   EndpointId deposed;
--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -136,6 +136,8 @@
   EndpointId primary;               // empty: unknown
   // Other endpoints whose rows say that they are the primary.
   std::vector<EndpointId> other_primaries;
+  // A commit is acknowledged only once a replica has received it.
+  bool synchronous = false;
 };
 
 struct Endpoint {
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -253,6 +253,13 @@
     session->last_commit_position =
         std::max(session->last_commit_position, *result.position);
     group.watermarks.Add(sent, *result.position);
+    // The reported position may be that of a later entry, which need not be
+    // acknowledged. The commit's own entry is above `log_before`.
+    const auto& before = connection->log_before;
+    const bool same_term = before.term == result.position->term;
+    group.acknowledged = std::max(
+        group.acknowledged, GroupPosition{result.position->term,
+                                          same_term ? before.position + 1 : 0});
   }
   m_counters->Observe(
       "latency_" + std::string(NameOf(kRouteKindNames, session->route.kind)),
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -293,6 +293,48 @@
   }
 }
 
+// The only replica that had received the newest commits left. Then the primary
+// went silent for some seconds, and the other replica was promoted without
+// them.
+TEST(Failover, CommitsOfADepartedReplicaAreKeptWhilePrimaryIsSilent) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    FleetSimulation simulation(5, 3, seed);
+    simulation.Run(seconds(20));
+    simulation.Endpoints().at("e2").leaving = true;
+    simulation.WriteEndpointRow("e2");
+    simulation.Endpoints().at("e1").replication_cut = true;
+    simulation.Run(seconds(3));
+    simulation.Endpoints().at("e2").alive = false;
+    simulation.WriteEndpointRow("e2");
+    simulation.Run(seconds(4));
+    simulation.Endpoints().at("e0").alive = false;
+    simulation.Run(seconds(8));
+    EXPECT_EQ(simulation.promotions, 0) << simulation.TraceText();
+    simulation.Endpoints().at("e0").alive = true;
+    simulation.Endpoints().at("e1").replication_cut = false;
+    simulation.Run(seconds(10));
+    EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
+    EXPECT_TRUE(simulation.AllReplicasResumed());
+  }
+}
+
+// The commits are lost if no endpoint that has them comes back, and then the
+// group must serve again.
+TEST(Failover, GroupWithoutItsNewestCommitsIsServedAfterAWhile) {
+  FleetSimulation simulation(5, 3, 1);
+  simulation.Run(seconds(20));
+  simulation.Endpoints().at("e1").replication_cut = true;
+  simulation.Run(seconds(1));
+  for (const auto* id : {"e0", "e2"}) {
+    simulation.Endpoints().at(id).alive = false;
+    simulation.WriteEndpointRow(id);
+  }
+  simulation.Run(seconds(25));
+  EXPECT_EQ(simulation.promotions, 0);
+  simulation.Run(seconds(25));
+  EXPECT_EQ(simulation.PrimaryId(), "e1");
+}
+
 // Known to fail; see KNOWN-RED.txt. A row of an endpoint that does not run
 // names itself a replica. Each change of primary waits for its answer and is
 // given up.
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -40,7 +40,8 @@
                 22,
                 21,
                 20},
-      StepDownRequest{"g", "e", 28}};
+      StepDownRequest{"g", "e", 28},
+      CommitReport{"g", {29, 30}}};
 }
 
 TEST(PeerMessages, RoundTripThroughJsonRpc) {
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -22,6 +22,24 @@
   bench->Handle(SessionClosed{session});
 }
 
+// The position in an answer may be that of a later entry which no replica has
+// received yet. It must not count as acknowledged, or a change of primary would
+// wait for an entry that nobody was promised.
+TEST(Commits, OnlyEntriesBelowTheCommitCountAsAcknowledged) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.groups.at("g").synchronous = true;
+  bench.Publish(directory);
+  const auto session = bench.Open("strict");
+  bench.Submit(session, Verb::kWrite, "WRITE x 1");
+  bench.CompleteInternal();
+  bench.CompleteNext("receipt", GroupPosition{1, 104});
+  ASSERT_TRUE(bench.TakeAnswer(session)->Ok());
+  bench.Tick(Milliseconds(600));
+  ASSERT_FALSE(bench.health.empty());
+  EXPECT_EQ(bench.health.back().acknowledged, (GroupPosition{1, 101}));
+}
+
 TEST(Sessions, UnknownDatabaseAndKeyAreRefused) {
   RelayBench bench;
   bench.Open("nothing");
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -79,6 +79,7 @@
                     "z" + std::to_string(host % kZones), "config", "endpoints"},
       &m_codec, &clock, &random, &state.counters);
   state.directory.reset();
+  state.acknowledged = {};
 }
 
 void FleetSimulation::Restart(int host) {
@@ -192,6 +193,7 @@
     for (int i = 0; i < HostCount(); ++i) {
       if (frozen.count(i) > 0) continue;
       auto& core = *m_hosts[static_cast<std::size_t>(i)]->core;
+      AcknowledgeTo(i);
       core.Handle(HealthSeenBy(i));
       core.Handle(TimerFired{});
       ExecuteActions(i);
@@ -313,11 +315,20 @@
          (primary_partly_unreachable && host % 2 == 1);
 }
 
+void FleetSimulation::AcknowledgeTo(int host) {
+  const auto& primary = m_endpoints.at(m_primary_id);
+  const bool is_primary = primary.paused_below <= primary.term;
+  if (!is_primary || writes_unanswered || CannotReachPrimary(host)) return;
+  m_hosts[static_cast<std::size_t>(host)]->acknowledged = {
+      primary.term, m_acknowledged_position};
+}
+
 // What the host's traffic reports of the endpoint that it takes for the
 // primary.
 relay::PrimaryHealth FleetSimulation::HealthSeenBy(int host) const {
   relay::PrimaryHealth health;
   health.group = kGroup;
+  health.acknowledged = m_hosts[static_cast<std::size_t>(host)]->acknowledged;
   for (const auto& [id, endpoint] : m_endpoints) {
     if (endpoint.alive) health.term = std::max(health.term, endpoint.term);
   }
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -95,6 +95,8 @@
     relay::DirectoryPtr directory;
     limits::SeatView seats;
     int generation = 0;
+    // The newest position whose acknowledgement the host has seen.
+    GroupPosition acknowledged;
   };
   struct Delivery {
     Instant due;
@@ -126,6 +128,8 @@
   void MakePrimary(const EndpointId& target);
   bool CannotReachPrimary(int host) const;
   relay::PrimaryHealth HealthSeenBy(int host) const;
+  // Passes an acknowledged commit on to the host that sent it.
+  void AcknowledgeTo(int host);
   relay::AdminDone HandleAdmin(int host, const relay::AdminRequest& request);
   PromoteStatus HandlePromote(const Promote& call);
 
