Keep replicas paused while a promotion may still be executed

Cause: a holder that gave up, and a host that found an unfinished claim, resumed the replicas while older promotion calls could still be executed; the platform knows of a newer token only from a promotion that carries it.

Change: replicas stay paused and the claim unsettled until a promotion under a newer token has been answered; if nothing else is wrong, the primary itself is promoted for that.

Why it works: a late call either finds its target with everything acknowledged, since nothing was resumed, or is refused by its token.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -35,13 +35,14 @@
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
                         StoreTime now, bool finished, const EndpointId& target,
-                        const GroupPosition& acknowledged) {
+                        bool settled, const GroupPosition& acknowledged) {
   Json::Value out;
   out["holder"] = holder;
   out["token"] = Json::UInt64(token);
   out["claimed"] = Json::Int64(now.count());
   out["finished"] = finished;
   out["target"] = target;
+  out["settled"] = settled;
   out["acknowledged_term"] = Json::UInt64(acknowledged.term);
   out["acknowledged_position"] = Json::UInt64(acknowledged.position);
   return ToText(out);
@@ -74,6 +75,7 @@
         StoreTime(static_cast<StoreTime::rep>(UintOr(value, "claimed"))),
         BoolOr(value, "finished"),
         !StringOr(value, "target").empty(),
+        BoolOr(value, "settled"),
         {UintOr(value, "acknowledged_term"),
          UintOr(value, "acknowledged_position")},
         row.version};
@@ -100,6 +102,7 @@
   }
   if (held_by_other && !claim.finished &&
       now - claim.claimed_at < kClaimLease) {
+    CheckClaimAgain(job);
     job->stage = Stage::kIdle;
     job->next_attempt_at = m_clock->Now() + kRetryBackoff;
     return;
@@ -108,11 +111,15 @@
       now - claim.claimed_at < kPromotionSettleTime) {
     // Another host has just replaced the primary, and the reports of the
     // endpoints have not arrived yet.
+    CheckClaimAgain(job);
     job->stage = Stage::kIdle;
     job->next_attempt_at = m_clock->Now() + kRetryBackoff;
     return;
   }
-  job->claim = {m_self, claim.token + 1, now, false, false, {}, claim.version};
+  job->claim = {m_self, claim.token + 1, now, false,
+                false,  false,           {},  claim.version};
+  job->promotion_pending = !no_open_claim && !claim.settled;
+  job->fences_older_promotion = job->promotion_pending;
   job->claim_sent_at = m_clock->Now();
   job->stage = Stage::kClaiming;
   job->stage_deadline = m_clock->Now() + kClaimTimeout;
@@ -123,11 +130,11 @@
 // read or last written.
 void PrimaryFailover::WriteClaim(const GroupId& group, Job* job, bool finished,
                                  const EndpointId& target) {
-  job->pending_calls.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, job->claim.claimed_at,
-                           finished, target, job->acknowledged),
-               job->claim.version});
+  job->pending_calls.push_back(WriteRow{
+      0, kPrimaryTable, group,
+      EncodeClaim(m_self, job->claim.token, job->claim.claimed_at, finished,
+                  target, job->claim.settled, job->acknowledged),
+      job->claim.version});
 }
 
 bool PrimaryFailover::EnsureClaimFresh(const GroupId& group, Job* job) {
@@ -168,6 +175,7 @@
              {{"group", group},
               {"reason", reason},
               {"token", std::to_string(job->claim.token)}});
+  job->promotion_pending |= job->promote_outstanding;
   job->may_have_left_paused |=
       !job->pause_answers.empty() || !job->to_resume.empty();
   job->pause_answers.clear();
@@ -186,28 +194,47 @@
              {{"group", group},
               {"reason", reason},
               {"token", std::to_string(job->claim.token)}});
-  if (!job->pause_answers.empty() &&
-      m_clock->Now() - job->claim_sent_at > kMaxClaimAge) {
+  job->promotion_pending |= job->promote_outstanding;
+  const bool acted =
+      job->stage == Stage::kProbing || job->stage == Stage::kSteppingDown ||
+      job->stage == Stage::kPausing || job->stage == Stage::kPromoting;
+  const bool claim_fresh =
+      m_clock->Now() - job->claim_sent_at <= kMaxClaimAge &&
+      !job->renewing_claim;
+  if (acted && job->promotion_pending) {
+    Abandon(group, job, reason);
+    job->next_attempt_at = m_clock->Now() + kYieldBackoff;
+    if (!claim_fresh) return;
+    // Lets another host take over at once what this one leaves unfinished.
+    job->claim.claimed_at = StoreTime{0};
+    return WriteClaim(group, job, false, {});
+  }
+  if (!job->pause_answers.empty() && !claim_fresh) {
     return Abandon(group, job, reason);
   }
   for (const auto& [id, answer] : job->pause_answers) {
     if (m_directory->endpoints.count(id) == 0) continue;
     SendAdminRequest(group, id, relay::Verb::kContinue, 0);
   }
-  const bool holds_claim = job->stage == Stage::kProbing ||
-                           job->stage == Stage::kSteppingDown ||
-                           job->stage == Stage::kPausing;
+
   job->pause_answers.clear();
+  CheckClaimAgain(job);
   job->stage = Stage::kIdle;
   job->call = 0;
   job->promote_outstanding = false;
   job->next_attempt_at = m_clock->Now() + kRetryBackoff;
-  if (!holds_claim) return;
+  if (!acted) return;
   // Another host may reach the endpoints that this host cannot reach.
   job->next_attempt_at = m_clock->Now() + kYieldBackoff;
   WriteClaim(group, job, true, {});
 }
 
+// Replicas that an attempt found no opportunity to resume must not stay paused.
+void PrimaryFailover::CheckClaimAgain(Job* job) {
+  if (job->reason != kReasonUnfinished && !job->may_have_left_paused) return;
+  job->check_claim_at = m_clock->Now() + kClaimCheckDelay;
+}
+
 void PrimaryFailover::Finish(const GroupId& group, Job* job) {
   m_counters->Add("failover_finished");
   log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_finished",
@@ -236,6 +263,16 @@
                         kClaimCheckRankDelay * static_cast<int>(host_rank);
 }
 
+void PrimaryFailover::ResumeReturnedReplicas(Job* job) {
+  const auto returned =
+      std::erase_if(job->disappeared_paused, [&](const EndpointId& id) {
+        return m_directory->endpoints.count(id) > 0;
+      });
+  if (returned == 0) return;
+  job->may_have_left_paused = true;
+  job->check_claim_at = m_clock->Now();
+}
+
 // Called when the promotion of the target has been accepted, or to complete an
 // unfinished failover.
 void PrimaryFailover::StartResume(const GroupId& group, Job* job) {
@@ -259,7 +296,9 @@
   const bool target_is_primary =
       m_directory->groups.at(group).primary == job->target;
   std::erase_if(job->to_resume, [&](const EndpointId& id) {
-    return m_directory->endpoints.count(id) == 0;
+    if (m_directory->endpoints.count(id) > 0) return false;
+    job->disappeared_paused.insert(id);
+    return true;
   });
   if (target_is_primary && job->to_resume.empty()) return Finish(group, job);
   const bool failed = !target_is_primary && now >= job->primary_report_deadline;
--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -94,8 +94,8 @@
   job->unanswered_probes.erase(event.endpoint);
   if (!job->unanswered_probes.empty() || EndIfLed(group, job)) return;
   job->stepped_down_at.reset();
-  return job->old_primary.empty() ? StartPause(group, job)
-                                  : StartStepDown(group, job);
+  const bool step_down = !job->old_primary.empty() && !job->keeps_primary;
+  return step_down ? StartStepDown(group, job) : StartPause(group, job);
 }
 
 }  // namespace tiller::fleet
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -41,6 +41,8 @@
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetryInterval{600};
 constexpr Milliseconds kPromoteTimeout{12'000};
+// A promotion that was accepted has taken effect after this time.
+constexpr Milliseconds kPromotionTime{1'500};
 
 // A primary that crashed or a replica behind a partition is back within this
 // time. If it is not, the commits that only it has are lost.
@@ -70,7 +72,10 @@
   std::erase_if(m_jobs, [&](const auto& item) {
     return m_directory->groups.count(item.first) == 0;
   });
-  for (auto& [group, job] : m_jobs) PauseNewReplicas(group, &job);
+  for (auto& [group, job] : m_jobs) {
+    PauseNewReplicas(group, &job);
+    if (job.stage == Stage::kIdle) ResumeReturnedReplicas(&job);
+  }
 }
 
 // A replica that appears during a failover must not acknowledge commits of the
@@ -224,8 +229,10 @@
                 {"reason", job.reason},
                 {"token", std::to_string(job.claim.token)}});
     // The directory may have changed since the primary was suspected.
-    if (job.reason == kReasonUnfinished || FindTrigger(group, job).empty()) {
-      job.target = m_directory->groups.at(group).primary;
+    job.target = m_directory->groups.at(group).primary;
+    job.keeps_primary =
+        job.reason == kReasonUnfinished || FindTrigger(group, job).empty();
+    if (job.keeps_primary && !job.fences_older_promotion) {
       return StartResume(group, &job);
     }
     return StartProbe(group, &job);
@@ -271,7 +278,8 @@
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
   // A primary that stepped down has reported the end of its log, which the
   // other replicas are compared to.
-  if (!job->stepped_down_at && m_history.HasGone(group)) {
+  if (!job->keeps_primary && !job->stepped_down_at &&
+      m_history.HasGone(group)) {
     return GiveUp(group, job, "a replica that may have commits is gone");
   }
   // Otherwise the listed replicas together have all acknowledged commits, and
@@ -291,10 +299,12 @@
 
 // A pause is effective only with a term above the newest term in the group.
 // Otherwise a replica that missed a change of primary would still accept
-// entries from the current primary.
+// entries from the current primary. If an older promotion may still be
+// executed, the pause also covers the term that it would begin.
 void PrimaryFailover::SendPause(const GroupId& group,
                                 const EndpointId& endpoint, Job* job) {
-  job->pause_term = std::max(job->pause_term, job->newest_term + 1);
+  const Term margin = job->fences_older_promotion ? 2 : 1;
+  job->pause_term = std::max(job->pause_term, job->newest_term + margin);
   SendAdminRequest(group, endpoint, relay::Verb::kPause, job->pause_term);
 }
 
@@ -409,13 +419,15 @@
                        [&](const auto& a, const auto& b) {
                          return preference(a.first) < preference(b.first);
                        });
-  job->target = best->first;
+  job->target = job->keeps_primary ? job->old_primary : best->first;
   const bool has_all_commits =
       !job->stepped_down_at || best->second->received >= *job->stepped_down_at;
   const bool may_revert =
       job->reverts < kMaxReverts || m_history.MayLackCommits(group);
-  if (!has_all_commits && primary != m_directory->endpoints.end() &&
-      may_revert) {
+  if (job->keeps_primary) {
+    m_counters->Add("failover_primary_kept");
+  } else if (!has_all_commits && primary != m_directory->endpoints.end() &&
+             may_revert) {
     ++job->reverts;
     job->target = primary->first;
     m_counters->Add("failover_reverted");
@@ -481,11 +493,17 @@
                     {"reason", job.reason}});
         m_promotions.emplace_back(group, job.target);
         job.pause_term = 0;
-        return StartResume(group, &job);
+        job.promotion_pending = false;
+        job.claim.settled = true;
+        StartResume(group, &job);
+        if (job.fences_older_promotion) job.next_resume_at += kPromotionTime;
+        return;
       case PromoteStatus::kFenced:
         return GiveUp(group, &job, "fenced, or the target does not run");
-      case PromoteStatus::kNotRun:
       case PromoteStatus::kUnknown:
+        job.promotion_pending = true;
+        [[fallthrough]];
+      case PromoteStatus::kNotRun:
         // The next tick repeats the request unchanged.
         m_counters->Add("failover_promote_repeated");
         return;
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -23,8 +23,11 @@
 //   it, since another host may have taken it over. A holder whose renewal fails
 //   sends no further requests.
 // - A promotion that is not answered is repeated unchanged until it is
-//   answered. It may be executed late, and the replicas must still be paused
-//   then.
+//   answered. It may be executed late, even after its caller has given up, and
+//   the replicas must still be paused then. They are resumed only after the
+//   platform has answered a promotion under a newer token, since it refuses
+//   older ones from then on, and after one that it had accepted before has had
+//   time to take effect.
 #pragma once
 
 #include <map>
@@ -103,7 +106,10 @@
     std::uint64_t token = 0;
     StoreTime claimed_at{0};
     bool finished = false;
-    bool promoted = false;       // names a target; if finished, it was promoted
+    bool promoted = false;  // names a target; if finished, it was promoted
+    // The platform has answered a promotion under this token, so it refuses all
+    // promotions under older ones.
+    bool settled = false;
     GroupPosition acknowledged;  // as known to the hosts that have held it
     RowVersion version = 0;
   };
@@ -120,6 +126,14 @@
     Instant claim_sent_at{};
     bool renewing_claim = false;
     CallId call = 0;
+    // A promotion that got no answer, under this claim or an earlier one, may
+    // still be executed. Replicas are not resumed then.
+    bool promotion_pending = false;
+    // As it was when the claim was made: the platform has to answer a promotion
+    // under the new token first. If there is no other reason to replace the
+    // primary, the primary itself is promoted for this purpose.
+    bool fences_older_promotion = false;
+    bool keeps_primary = false;
     // Replicas that were asked to pause, with their answers.
     std::map<EndpointId, std::optional<relay::EndpointStatus>> pause_answers;
     int pause_refusals = 0;
@@ -140,6 +154,8 @@
     Term reported_term = 0;
     // This host may have left replicas paused.
     bool may_have_left_paused = false;
+    // Replicas that were paused and disappeared before they were resumed.
+    std::set<EndpointId> disappeared_paused;
     // Position at which the old primary stepped down.
     std::optional<GroupPosition> stepped_down_at;
     Instant pause_not_before{};
@@ -184,8 +200,11 @@
   // is in progress; it is started here if necessary.
   bool EnsureClaimFresh(const GroupId& group, Job* job);
   void OnClaimRenewed(const GroupId& group, Job* job, const RowWritten& event);
+
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewReplicas(const GroupId& group, Job* job);
+  // Sees to it that a replica which disappeared while paused is resumed.
+  void ResumeReturnedReplicas(Job* job);
   // Asks the other endpoints whose rows name them the primary. Needs no claim,
   // since nothing is changed.
   void StartAskingOthers(Job* job, const relay::Group& row);
@@ -211,6 +230,7 @@
   void GiveUp(const GroupId& group, Job* job, const std::string& reason);
   void StartResume(const GroupId& group, Job* job);
   void Resume(const GroupId& group, Job* job);
+  void CheckClaimAgain(Job* job);
   void Finish(const GroupId& group, Job* job);
   void TrackPrimary(const GroupId& group, Job* job, std::size_t host_rank);
 
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -335,6 +335,35 @@
   EXPECT_EQ(simulation.PrimaryId(), "e1");
 }
 
+// A promotion got no answer. Its caller gave up and resumed the replicas while
+// the old primary served again, and the promotion was executed after its target
+// had fallen behind.
+TEST(Failover, LatePromotionDropsNoCommitsAfterItsCallerHasGivenUp) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    FleetSimulation simulation(5, 3, seed);
+    simulation.Run(seconds(20));
+    simulation.promotion_delay = seconds(16);
+    simulation.Endpoints().at("e0").alive = false;
+    for (int i = 0; i < 200 && simulation.promotion_calls == 0; ++i) {
+      simulation.Run(Milliseconds(25));
+    }
+    ASSERT_GT(simulation.promotion_calls, 0);
+    const auto target = simulation.last_promotion_target;
+    simulation.Run(seconds(3));
+    simulation.Endpoints().at("e0").alive = true;
+    simulation.Run(seconds(11));
+    simulation.promotion_delay = seconds(0);
+    simulation.Endpoints().at(target).replication_cut = true;
+    simulation.Run(seconds(20));
+    EXPECT_TRUE(simulation.violations.empty())
+        << "seed " << seed << ": " << simulation.violations.front() << "\n"
+        << simulation.TraceText();
+    simulation.Endpoints().at(target).replication_cut = false;
+    simulation.Run(seconds(10));
+    EXPECT_TRUE(simulation.AllReplicasResumed()) << simulation.TraceText();
+  }
+}
+
 // Known to fail; see KNOWN-RED.txt. A row of an endpoint that does not run
 // names itself a replica. Each change of primary waits for its answer and is
 // given up.
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -13,6 +13,7 @@
 constexpr Milliseconds kTickInterval{25};
 constexpr Milliseconds kPromotionTime{600};
 constexpr Milliseconds kWriteAnswerLimit{1'200};
+constexpr Milliseconds kPromoteAnswerLimit{500};
 constexpr char kGroup[] = "g";
 constexpr int kZones = 3;
 
@@ -247,7 +248,18 @@
     }
     DeliverStoreAnswer(host, event, kWriteAnswerLimit);
   } else if (const auto* promote = std::get_if<Promote>(&action)) {
-    auto status = HandlePromote(*promote);
+    ++promotion_calls;
+    last_promotion_target = promote->endpoint;
+    auto status = PromoteStatus::kUnknown;
+    if (promotion_delay.count() == 0) {
+      status = HandlePromote(*promote);
+    } else {
+      m_late_promotions.emplace_back(clock.Now() + promotion_delay, *promote);
+      const auto due = clock.Now() + kPromoteAnswerLimit;
+      m_deliveries.push_back({due, host, state.generation,
+                              PromoteAnswered{promote->call, status}});
+      return;
+    }
     if (lose_one_answer_in > 0 &&
         random.UniformBelow(lose_one_answer_in) == 0) {
       status = PromoteStatus::kUnknown;
@@ -345,6 +357,7 @@
     health.silent_for = Milliseconds(700);
     return health;
   }
+  if (used == m_primary_id) health.endpoint = used;  // it answers
   const auto& primary_endpoint = m_endpoints.at(m_primary_id);
   if (primary_endpoint.paused_below > primary_endpoint.term) {
     // The endpoint has stepped down and rejects callers as not primary.
@@ -356,6 +369,13 @@
 
 // Simulates commits, replication, and a pending promotion that is due.
 void FleetSimulation::AdvanceGroup() {
+  for (const auto& [due, call] : std::exchange(m_late_promotions, {})) {
+    if (clock.Now() >= due) {
+      HandlePromote(call);
+    } else {
+      m_late_promotions.emplace_back(due, call);
+    }
+  }
   if (m_pending_promotion && clock.Now() >= m_pending_promotion->first) {
     const auto target =
         std::exchange(m_pending_promotion, std::nullopt)->second;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -72,6 +72,10 @@
   // One in this many writes and promotions is executed but not answered; 0:
   // none.
   std::uint64_t lose_one_answer_in = 0;
+  // Promotions get no answer and are executed that much later; 0: at once.
+  Milliseconds promotion_delay{0};
+  int promotion_calls = 0;
+  EndpointId last_promotion_target;
   // Some hosts get no answer from the primary.
   bool primary_partly_unreachable = false;
   // The primary answers, but leaves writes unanswered.
@@ -140,6 +144,7 @@
   RowVersion m_version = 0;
   std::vector<Delivery> m_deliveries;
   std::vector<LongPoll> m_long_polls;
+  std::vector<std::pair<Instant, Promote>> m_late_promotions;
   std::map<EndpointId, SimulatedEndpoint> m_endpoints;
   EndpointId m_primary_id;
   std::uint64_t m_acknowledged_position = 0;
