Ask replicas that become listed whether they are paused

What callers saw: reads and acknowledgements of a replica missing for as long as it stayed paused. Cause: a replica that was cut off while it was paused was resumed only by the host that had paused it, and only if that host still ran. Change: the first hosts in the group's order ask a replica for its state when it becomes listed.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -263,14 +263,15 @@
                         kClaimCheckRankDelay * static_cast<int>(host_rank);
 }
 
-void PrimaryFailover::ResumeReturnedReplicas(Job* job) {
-  const auto returned =
-      std::erase_if(job->disappeared_paused, [&](const EndpointId& id) {
-        return m_directory->endpoints.count(id) > 0;
-      });
-  if (returned == 0) return;
-  job->may_have_left_paused = true;
-  job->check_claim_at = m_clock->Now();
+void PrimaryFailover::AskReturnedReplicas(const relay::DirectoryPtr& old) {
+  if (old == nullptr) return;
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    if (endpoint.primary || old->endpoints.count(id) > 0) continue;
+    const auto job = m_jobs.find(endpoint.group);
+    if (job == m_jobs.end() || job->second.stage != Stage::kIdle) continue;
+    if (job->second.host_rank >= kClaimCheckHosts) continue;
+    SendAdminRequest(endpoint.group, id, relay::Verb::kStatus, 0);
+  }
 }
 
 // Called when the promotion of the target has been accepted, or to complete an
@@ -296,9 +297,7 @@
   const bool target_is_primary =
       m_directory->groups.at(group).primary == job->target;
   std::erase_if(job->to_resume, [&](const EndpointId& id) {
-    if (m_directory->endpoints.count(id) > 0) return false;
-    job->disappeared_paused.insert(id);
-    return true;
+    return m_directory->endpoints.count(id) == 0;
   });
   if (target_is_primary && job->to_resume.empty()) return Finish(group, job);
   const bool failed = !target_is_primary && now >= job->primary_report_deadline;
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -72,10 +72,8 @@
   std::erase_if(m_jobs, [&](const auto& item) {
     return m_directory->groups.count(item.first) == 0;
   });
-  for (auto& [group, job] : m_jobs) {
-    PauseNewReplicas(group, &job);
-    if (job.stage == Stage::kIdle) ResumeReturnedReplicas(&job);
-  }
+  for (auto& [group, job] : m_jobs) PauseNewReplicas(group, &job);
+  AskReturnedReplicas(old);
 }
 
 // A replica that appears during a failover must not acknowledge commits of the
@@ -127,6 +125,7 @@
     const auto found_rank = host_ranks.find(group);
     const std::size_t host_rank =
         found_rank == host_ranks.end() ? kNearHosts : found_rank->second;
+    job.host_rank = host_rank;
     if (job.stage != Stage::kPromoting) TrackPrimary(group, &job, host_rank);
     if (job.stage == Stage::kIdle) {
       MaybeStartFailover(group, &job, host_rank);
@@ -333,6 +332,12 @@
       if (job.unanswered_probes.empty()) OnOthersAnswered(group, &job);
     }
     if (job.stage == Stage::kProbing) OnProbeAnswered(group, &job, event);
+    const auto& status = event.result.status;
+    if (job.stage == Stage::kIdle && status &&
+        status->paused_below > status->term) {
+      job.may_have_left_paused = true;
+      CheckClaimAgain(&job);
+    }
     return;
   }
   if (job.stage == Stage::kSteppingDown &&
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -154,8 +154,8 @@
     Term reported_term = 0;
     // This host may have left replicas paused.
     bool may_have_left_paused = false;
-    // Replicas that were paused and disappeared before they were resumed.
-    std::set<EndpointId> disappeared_paused;
+    // Rank of this host in the group's order at the last tick.
+    std::size_t host_rank = 0;
     // Position at which the old primary stepped down.
     std::optional<GroupPosition> stepped_down_at;
     Instant pause_not_before{};
@@ -203,8 +203,9 @@
 
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewReplicas(const GroupId& group, Job* job);
-  // Sees to it that a replica which disappeared while paused is resumed.
-  void ResumeReturnedReplicas(Job* job);
+  // Asks replicas that have become listed whether they are paused. One that
+  // disappeared while it was paused was not resumed by the host that paused it.
+  void AskReturnedReplicas(const relay::DirectoryPtr& old);
   // Asks the other endpoints whose rows name them the primary. Needs no claim,
   // since nothing is changed.
   void StartAskingOthers(Job* job, const relay::Group& row);
