Stop writing in a zone that is cut off

Cause: hosts in the zone went on writing through a primary that hosts outside replaced; a replica unknown outside acknowledged. Neither side had a time limit known to the other.

Change: a host that has heard nothing from endpoints of other zones for 0.2 s, although it asked, refuses commits of synchronous groups before they are sent, and answers those already sent as in doubt. With a listed replica in the zone, which prevents a promotion outside, it writes for up to 4 s.

CutOffZone.WriteThatMayBeRolledBackIsRefusedAtOnce failed with the check disabled. Why it works: a promotion outside takes effect 1.2 s or more after the cut, when nothing is acknowledged any more.

--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -146,6 +146,7 @@
   connection.step_sent = Now();
   connection.step_deadline = Now() + kOpenTimeout;
   m_counters->Add("connections_opened");
+  if (InOtherZone(endpoint.id)) m_zone_contact.RecordSent(Now());
   OpenConnection action{id, endpoint.id, endpoint.address, endpoint.group,
                         workspace};
   if (IsPooled(endpoint.group)) {
@@ -181,6 +182,7 @@
   auto* connection = FindConnection(event.connection);
   if (connection == nullptr) return;
   HealthOf(connection->endpoint).RecordAnswer(Now());
+  RecordContact(*connection, Refusal::kNone);
   StatementResult opened;
   opened.position = event.position;
   RecordPosition(*connection, opened);
@@ -204,6 +206,9 @@
     AvoidPool(pool_host_id, event.detail);
   } else {
     health.RecordConnectionRefused(event.refusal, Now());
+    if (event.refusal != Refusal::kNone) {
+      RecordContact(*connection, event.refusal);
+    }
   }
   m_connections.erase(event.connection);
   DispatchWaiting(group);
@@ -289,6 +294,7 @@
   connection->step_sent = Now();
   connection->step_deadline = Now() + limit;
   connection->log_before = m_groups[connection->group].newest_position;
+  if (InOtherZone(connection->endpoint)) m_zone_contact.RecordSent(Now());
   action.statement = std::move(statement);
   m_actions.push_back(std::move(action));
 }
@@ -297,6 +303,7 @@
   auto* connection = FindConnection(event.connection);
   if (connection == nullptr) return;
   HealthOf(connection->endpoint).RecordAnswer(Now());
+  RecordContact(*connection, event.result.refusal);
   RecordPosition(*connection, event.result);
   if (connection->step == Step::kUser) {
     HealthOf(connection->endpoint)
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -244,6 +244,7 @@
   ExpireIdleTransactions();
   for (const auto& [name, group] : m_directory->groups) DispatchWaiting(name);
   TrimIdle();
+  CheckIsolation();
   ProbePrimaries();
   ReportPrimaries();
   CheckReachability();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -17,6 +17,7 @@
 #include "Limits/token_share.h"
 #include "Relay/relay_messages.h"
 #include "Relay/relay_state.h"
+#include "Relay/zone_contact.h"
 
 namespace tiller::relay {
 
@@ -100,6 +101,8 @@
   // ---- requests (request_flow.cc)
   bool NeedsPrimary(const Session& session) const;
   bool IsWrite(const Session& session, const Statement& statement) const;
+  // True if the request may change data that others see.
+  bool Commits(const Session& session) const;
   // The lowest log position that satisfies the route's consistency for a read
   // of this session; nullopt if no watermark is recent enough to prove one.
   std::optional<GroupPosition> NeededPosition(const Session& session) const;
@@ -160,6 +163,17 @@
   void FinishAdmin(std::uint64_t id, bool answered,
                    const StatementResult& result);
 
+  // ---- contact with other zones (zone_isolation.cc)
+  bool InOtherZone(const EndpointId& id) const;
+  void RecordContact(const Connection& connection, Refusal refusal);
+  void CheckIsolation();
+  void ProbeOtherZones();
+  // True if a commit of the group may be rolled back by hosts that this one
+  // does not hear of.
+  bool MayLoseCommits(const GroupId& group) const;
+  // Precondition: the statement has not been sent.
+  void RefuseIsolatedWrite(Session* session);
+
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
   void ExpireSteps();
@@ -215,6 +229,12 @@
   // Since when most primaries have been unreachable.
   std::optional<Instant> m_unreachable_since;
   bool m_cut_off = false;
+  ZoneContact m_zone_contact;
+  // The zone is cut off, as far as this host can tell at the last tick.
+  bool m_isolated = false;
+  Instant m_last_tick{};
+  Instant m_last_contact_probe{};
+  Instant m_last_write_sent{};
   std::vector<Action> m_actions;
 };
 
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -39,6 +39,12 @@
   return it != session.prepared.end() && it->second.writes;
 }
 
+bool RelayCore::Commits(const Session& session) const {
+  const auto& statement = session.request->statement;
+  if (session.state != TxState::kOpen) return IsWrite(session, statement);
+  return statement.verb == Verb::kCommit && session.tx_wrote;
+}
+
 bool RelayCore::NeedsPrimary(const Session& session) const {
   if (session.route.kind == RouteKind::kPrimary) return true;
   if (session.state == TxState::kOpen) return !session.tx_read_only;
@@ -59,6 +65,10 @@
 
 bool RelayCore::Dispatch(Session* session) {
   auto& request = *session->request;
+  if (Commits(*session) && MayLoseCommits(session->route.group)) {
+    RefuseIsolatedWrite(session);
+    return true;
+  }
   if (session->pinned != 0) {
     auto* connection = FindConnection(session->pinned);
     if (connection == nullptr) {
@@ -210,6 +220,7 @@
   auto& request = *session->request;
   request.sent = true;
   request.forwarded = Now();
+  if (Commits(*session)) m_last_write_sent = Now();
   const bool read = !IsWrite(*session, request.statement) &&
                     request.statement.verb != Verb::kCommit;
   Duration limit = request.deadline - Now();
@@ -247,8 +258,7 @@
   const bool write = IsWrite(*session, request.statement);
   auto& group = m_groups[connection->group];
   if (write || verb == Verb::kCommit) group.last_write_answer = Now();
-  const bool committed = (verb == Verb::kCommit && session->tx_wrote) ||
-                         (write && session->state == TxState::kIdle);
+  const bool committed = Commits(*session);
   if (committed && result.position) {
     session->last_commit_position =
         std::max(session->last_commit_position, *result.position);
@@ -278,6 +288,11 @@
         log::MillisecondsText(request.forwarded - request.dispatched)},
        {"run_ms", log::MillisecondsText(Now() - request.forwarded)}});
   auto answer = result;
+  if (committed && MayLoseCommits(connection->group)) {
+    m_counters->Add("in_doubt_zone_isolated");
+    answer.refusal = Refusal::kInDoubt;
+    answer.text = "zone is cut off, the commit may be rolled back";
+  }
   if (verb == Verb::kCommit) {
     connection->in_transaction = false;
     connection->options_in_transaction = false;
--- /dev/null
+++ b/Source/Relay/zone_isolation.cc
@@ -0,0 +1,126 @@
+// Relay: what a host does while it hears nothing from other availability zones.
+#include <algorithm>
+#include <set>
+
+#include "Common/log.h"
+#include "Relay/relay_core.h"
+
+namespace tiller::relay {
+namespace {
+
+// Without an answer from another zone for this long, the next statement to one
+// of its endpoints is a probe, so that a loss of contact is noticed although
+// callers need no endpoint there.
+constexpr Milliseconds kContactProbeAfter{80};
+constexpr Milliseconds kContactProbeInterval{80};
+constexpr Milliseconds kContactProbeTimeout{350};
+constexpr std::size_t kContactProbes = 3;
+// The zone is taken to be cut off after this time without contact. Well below
+// the time in which other hosts replace a silent primary, and a multiple of the
+// time in which an endpoint that works answers a probe.
+constexpr Milliseconds kIsolatedAfter{200};
+// A listed replica in this zone prevents a change of primary outside, but not
+// for ever: other hosts leave it out some seconds later than this.
+constexpr Milliseconds kIsolatedWriteLimit{4'000};
+// Ticks come every few milliseconds; a longer gap means that the process was
+// suspended.
+constexpr Milliseconds kMaxTickGap{100};
+
+}  // namespace
+
+bool RelayCore::InOtherZone(const EndpointId& id) const {
+  const auto* endpoint = FindEndpoint(id);
+  return endpoint != nullptr && endpoint->zone != m_settings.zone;
+}
+
+// `refusal`: of the answer. A shared pool may refuse on behalf of an endpoint
+// that does not answer.
+void RelayCore::RecordContact(const Connection& connection, Refusal refusal) {
+  const bool by_pool = !connection.pool_host_id.empty() &&
+                       (refusal == Refusal::kAborted ||
+                        connection.state == ConnectionState::kOpening);
+  if (by_pool || !InOtherZone(connection.endpoint)) return;
+  m_zone_contact.RecordAnswer(Now());
+}
+
+void RelayCore::CheckIsolation() {
+  const auto now = Now();
+  if (now - m_last_tick > kMaxTickGap) m_zone_contact.RecordSuspension(now);
+  m_last_tick = now;
+  const bool isolated = m_zone_contact.SilentFor(now) >= kIsolatedAfter;
+  if (isolated != m_isolated) {
+    m_isolated = isolated;
+    if (isolated) m_counters->Add("zone_isolations");
+    log::Event(
+        log::Channel::kTraffic, log::Level::kWarn,
+        isolated ? "zone_isolated" : "zone_connected",
+        {{"zone", m_settings.zone},
+         {"silent_ms", log::MillisecondsText(m_zone_contact.SilentFor(now))}});
+  }
+  const bool unanswered =
+      m_zone_contact.SilentFor(now) >= kContactProbeInterval;
+  const bool writes_unchecked =
+      m_last_write_sent > m_zone_contact.LastAnswer() &&
+      now - m_zone_contact.LastAnswer() >= kContactProbeAfter;
+  if (!unanswered && !writes_unchecked) return;
+  if (now - m_last_contact_probe < kContactProbeInterval) return;
+  m_last_contact_probe = now;
+  ProbeOtherZones();
+}
+
+void RelayCore::ProbeOtherZones() {
+  std::set<EndpointId> probed;
+  for (auto& [id, connection] : m_connections) {
+    if (probed.size() == kContactProbes) break;
+    if (connection.state != ConnectionState::kIdle) continue;
+    if (!InOtherZone(connection.endpoint)) continue;
+    if (!probed.insert(connection.endpoint).second) continue;
+    connection.state = ConnectionState::kBusy;
+    m_counters->Add("contact_probes");
+    Send(&connection, Step::kAdmin, {Verb::kStatus, "", "", ""},
+         kContactProbeTimeout);
+  }
+  if (!probed.empty() || m_directory->workspaces.empty()) return;
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    if (!InOtherZone(id) || ConnectionsAt(id) > 0) continue;
+    if (!CanOpenConnection(endpoint)) continue;
+    Open(endpoint, m_directory->workspaces.begin()->first);
+    return;
+  }
+}
+
+// A commit at a primary in a zone that is cut off can be acknowledged by a
+// replica that nobody outside knows of. Hosts outside replace the primary, and
+// the commit is rolled back.
+bool RelayCore::MayLoseCommits(const GroupId& group) const {
+  const auto found = m_directory->groups.find(group);
+  if (!m_isolated || found == m_directory->groups.end()) return false;
+  if (!found->second.synchronous || Now() - m_last_tick > kMaxTickGap) {
+    return false;
+  }
+  const auto silent_for = m_zone_contact.SilentFor(Now());
+  if (silent_for < kIsolatedAfter) return false;
+  const bool replica_in_zone = std::any_of(
+      m_directory->endpoints.begin(), m_directory->endpoints.end(),
+      [&](const auto& item) {
+        const auto& endpoint = item.second;
+        if (endpoint.group != group || endpoint.id == found->second.primary) {
+          return false;
+        }
+        const auto health = m_health.find(endpoint.id);
+        return endpoint.zone == m_settings.zone && health != m_health.end() &&
+               health->second.Failures() == 0;
+      });
+  return !replica_in_zone || silent_for >= kIsolatedWriteLimit;
+}
+
+void RelayCore::RefuseIsolatedWrite(Session* session) {
+  m_counters->Add("refused_zone_isolated");
+  if (session->state == TxState::kOpen) {
+    return RefuseInTransaction(session, Refusal::kAborted,
+                               "zone is cut off, transaction was rolled back");
+  }
+  Refuse(session, Refusal::kBusy, "zone is cut off, retry after 1000 ms");
+}
+
+}  // namespace tiller::relay
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -40,6 +40,59 @@
   EXPECT_EQ(bench.health.back().acknowledged, (GroupPosition{1, 101}));
 }
 
+std::optional<StatementResult> Write(RelayBench* bench) {
+  const auto session = bench->Open("own");
+  bench->Submit(session, Verb::kWrite, "WRITE x 1");
+  return bench->TakeAnswer(session);
+}
+
+// A relay in zone z1 with the primary, and replicas in other zones that do not
+// answer any more. `replica_in_zone`: one that answers is in z1 as well.
+void CutOffZone(RelayBench* bench, bool replica_in_zone) {
+  auto directory = bench->MakeDirectory();
+  directory.groups.at("g").synchronous = true;
+  directory.endpoints.at("r1").zone = replica_in_zone ? "z1" : "z3";
+  bench->Publish(directory);
+  for (int i = 0; i < 4; ++i) {
+    bench->Submit(bench->Open("bounded"), Verb::kRead, "READ a");
+  }
+  while (!bench->PendingStatements().empty()) bench->CompleteNext();
+  bench->unresponsive = true;
+  bench->Tick(Milliseconds(20));
+  Write(bench);
+  for (int i = 0; i < 30; ++i) {
+    bench->Tick(Milliseconds(20));
+    const auto pending = std::exchange(bench->PendingStatements(), {});
+    for (const auto& item : pending) {
+      if (directory.endpoints.at(item.endpoint).zone != "z1") continue;
+      StatementResult result;
+      result.text = "-";
+      result.position = bench->log_position;
+      bench->Handle(StatementDone{item.statement.connection, result});
+    }
+  }
+}
+
+// Hosts outside a zone that is cut off replaced the primary in it, while hosts
+// inside passed on its acknowledgements (review case 2).
+TEST(CutOffZone, WriteThatMayBeRolledBackIsRefusedAtOnce) {
+  RelayBench bench;
+  RecordWatermark(&bench);
+  CutOffZone(&bench, false);
+  const auto answer = Write(&bench);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+}
+
+// A listed replica in the zone keeps hosts outside from replacing the primary,
+// though not for ever.
+TEST(CutOffZone, ListedReplicaInTheZoneAllowsWritesForAWhile) {
+  RelayBench bench;
+  RecordWatermark(&bench);
+  CutOffZone(&bench, true);
+  EXPECT_FALSE(Write(&bench));
+}
+
 TEST(Sessions, UnknownDatabaseAndKeyAreRefused) {
   RelayBench bench;
   bench.Open("nothing");
