Pause a replica again that restarts while the primary is replaced

Cause: a restart ends the pause, but the replica was known by its id alone, so it was not paused again and acknowledged entries of the old primary while the other replica was being promoted.

Change: jobs know a replica by its id and the start of its process.

Evidence: Failover.ReplicaThatRestartsIsPausedAgain failed with the comparison by id and passes.

--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -73,7 +73,7 @@
   job->old_primary = m_directory->groups.at(group).primary;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     if (endpoint.group != group) continue;
-    job->seen_endpoints.insert(id);
+    job->seen_endpoints[id] = endpoint.process_start_ms;
     if (id == job->old_primary) continue;
     if (!m_history.NeverAnswers(id)) {
       job->unanswered_probes.insert(id);
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -76,8 +76,8 @@
   AskReturnedReplicas(old);
 }
 
-// A replica that appears during a failover must not acknowledge commits of the
-// old primary.
+// A replica that appears or restarts during a failover must not acknowledge
+// commits of the old primary.
 void PrimaryFailover::PauseNewReplicas(const GroupId& group, Job* job) {
   const bool choosing =
       job->stage == Stage::kPausing || job->stage == Stage::kPromoting;
@@ -88,8 +88,20 @@
     return;
   if (awaiting_primary && row->second.primary == job->target) return;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
-    if (endpoint.group != group || job->seen_endpoints.count(id) > 0) continue;
-    job->seen_endpoints.insert(id);
+    if (endpoint.group != group) continue;
+    const auto seen =
+        job->seen_endpoints.emplace(id, endpoint.process_start_ms);
+    const bool known = !seen.second;
+    if (known && seen.first->second == endpoint.process_start_ms) continue;
+    seen.first->second = endpoint.process_start_ms;
+    if (known && id == job->old_primary) continue;
+    if (known) {
+      log::Event(log::Channel::kFailover, log::Level::kWarn,
+                 "paused_replica_restarted",
+                 {{"group", group},
+                  {"endpoint", id},
+                  {"token", std::to_string(job->claim.token)}});
+    }
     if (job->stage == Stage::kPausing) job->pause_answers[id] = std::nullopt;
     job->to_resume.insert(id);
     SendPause(group, id, job);
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -165,8 +165,9 @@
     // Since when no endpoint that answers has them.
     std::optional<Instant> commits_missing_since;
     EndpointId target;
-    // Endpoints of the group that this job already knows; others are new.
-    std::set<EndpointId> seen_endpoints;
+    // Endpoints of the group that this job already knows, with the start of
+    // their process; others are new. A restart ends a pause.
+    std::map<EndpointId, std::uint64_t> seen_endpoints;
     // Replicas that have not confirmed that they have resumed.
     std::set<EndpointId> to_resume;
     Instant next_resume_at{};
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -364,6 +364,30 @@
   }
 }
 
+// A replica that had answered the pause restarted, which ended its pause. It
+// received and acknowledged entries of the old primary while the others were
+// still being paused or the promotion was called.
+TEST(Failover, ReplicaThatRestartsIsPausedAgain) {
+  FleetSimulation simulation(5, 3, 4);
+  simulation.Run(seconds(20));
+  simulation.promotion_delay = seconds(5);
+  simulation.Endpoints().at("e0").alive = false;
+  for (int i = 0; i < 200 && simulation.promotion_calls == 0; ++i) {
+    simulation.Run(Milliseconds(25));
+  }
+  ASSERT_GT(simulation.promotion_calls, 0);
+  const auto target = simulation.last_promotion_target;
+  const auto other = target == "e1" ? "e2" : "e1";
+  simulation.RestartEndpoint(other);
+  simulation.Run(Milliseconds(200));
+  // The old primary is back, and no host's request to step down reached it.
+  simulation.Endpoints().at("e0").alive = true;
+  simulation.promotion_delay = seconds(0);
+  simulation.Run(seconds(10));
+  EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
+  EXPECT_TRUE(simulation.AllReplicasResumed());
+}
+
 // A row of an endpoint that does not run named itself a replica. Each change of
 // primary waited for its answer and was given up.
 TEST(Failover, StrayRowOfAReplicaDoesNotPreventAChangeOfPrimary) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -45,6 +45,7 @@
   out.zone = "z" + id;
   out.primary = BoolOr(json.value(), "primary");
   out.leaving = BoolOr(json.value(), "leaving");
+  out.process_start_ms = UintOr(json.value(), "process_start_ms");
   return out;
 }
 
@@ -104,9 +105,18 @@
   Json::Value value;
   value["primary"] = id == m_primary_id;
   value["leaving"] = endpoint.leaving;
+  value["process_start_ms"] = Json::UInt64(endpoint.process_start_ms);
   PutRow("endpoints", id, ToText(value));
 }
 
+void FleetSimulation::RestartEndpoint(const EndpointId& id) {
+  auto& endpoint = m_endpoints.at(id);
+  endpoint.paused_below = 0;
+  ++endpoint.process_start_ms;
+  AddTrace(id + " restarts");
+  WriteEndpointRow(id);
+}
+
 void FleetSimulation::WriteStrayEndpointRow(const EndpointId& id, bool primary,
                                             bool leaving) {
   Json::Value value;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -34,6 +34,7 @@
   Term term = 1;
   std::uint64_t position = 0;
   Term paused_below = 0;
+  std::uint64_t process_start_ms = 0;
   // Sent by the primary but not received yet; received in the next step.
   Term sent_term = 0;
   std::uint64_t sent_position = 0;
@@ -48,6 +49,8 @@
   // `padding` bytes make the configuration larger.
   void SetConfig(std::uint64_t version, std::size_t padding = 0);
   void WriteEndpointRow(const EndpointId& id);
+  // The endpoint's process starts again with its log; a pause ends.
+  void RestartEndpoint(const EndpointId& id);
   // Writes the row of an endpoint that does not run.
   void WriteStrayEndpointRow(const EndpointId& id, bool primary, bool leaving);
 
