Keep a zone isolated until an endpoint outside answers, also after late ticks

Cause: a tick that came over 100 ms late reset the measure of silence, as after a suspension, so hosts short of processor time wrote again while their zone was still cut off. Evidence: event=zone_connected silent_ms=0 121 ms after the tick before, while the zone stayed cut for 3 s more.

Change: a late tick does not declare a zone isolated, since answers may still have to be read, but only an answer ends an isolation.

--- a/Source/Relay/zone_contact.h
+++ b/Source/Relay/zone_contact.h
@@ -22,10 +22,7 @@
     m_unanswered_since.reset();
     m_last_answer = now;
   }
-  // This process was suspended: answers may be waiting to be read.
-  void RecordSuspension(Instant now) {
-    if (m_unanswered_since) m_unanswered_since = now;
-  }
+
   // How long statements have been unanswered, without any answer from another
   // zone; zero if none is.
   Duration SilentFor(Instant now) const {
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -1,6 +1,7 @@
 // Relay: what a host does while it hears nothing from other availability zones.
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "Common/log.h"
 #include "Relay/relay_core.h"
@@ -22,8 +23,8 @@
 // A listed replica in this zone prevents a change of primary outside, but not
 // for ever: other hosts leave it out some seconds later than this.
 constexpr Milliseconds kIsolatedWriteLimit{4'000};
-// Ticks come every few milliseconds; a longer gap means that the process was
-// suspended.
+// Ticks come every few milliseconds. After a longer gap the process was
+// suspended, and answers are still to be read.
 constexpr Milliseconds kMaxTickGap{100};
 
 }  // namespace
@@ -45,10 +46,9 @@
 
 void RelayCore::CheckIsolation() {
   const auto now = Now();
-  if (now - m_last_tick > kMaxTickGap) m_zone_contact.RecordSuspension(now);
-  m_last_tick = now;
+  const bool suspended = now - std::exchange(m_last_tick, now) > kMaxTickGap;
   const bool isolated = m_zone_contact.SilentFor(now) >= kIsolatedAfter;
-  if (isolated != m_isolated) {
+  if (isolated != m_isolated && !(isolated && suspended)) {
     m_isolated = isolated;
     if (isolated) m_counters->Add("zone_isolations");
     log::Event(
@@ -95,11 +95,8 @@
 bool RelayCore::MayLoseCommits(const GroupId& group) const {
   const auto found = m_directory->groups.find(group);
   if (!m_isolated || found == m_directory->groups.end()) return false;
-  if (!found->second.synchronous || Now() - m_last_tick > kMaxTickGap) {
-    return false;
-  }
   const auto silent_for = m_zone_contact.SilentFor(Now());
-  if (silent_for < kIsolatedAfter) return false;
+  if (!found->second.synchronous || silent_for == Duration{}) return false;
   const bool replica_in_zone = std::any_of(
       m_directory->endpoints.begin(), m_directory->endpoints.end(),
       [&](const auto& item) {
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -84,6 +84,18 @@
   EXPECT_EQ(answer->refusal, Refusal::kBusy);
 }
 
+// A host whose ticks came late, for lack of processor time, took the zone for
+// connected again and went on writing (soak, seed 2).
+TEST(CutOffZone, LateTicksDoNotAllowWritesAgain) {
+  RelayBench bench;
+  RecordWatermark(&bench);
+  CutOffZone(&bench, false);
+  for (int i = 0; i < 4; ++i) bench.Tick(Milliseconds(150));
+  const auto answer = Write(&bench);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+}
+
 // A listed replica in the zone keeps hosts outside from replacing the primary,
 // though not for ever.
 TEST(CutOffZone, ListedReplicaInTheZoneAllowsWritesForAWhile) {
