--- a/Source/Common/log.cc
+++ b/Source/Common/log.cc
@@ -12,14 +12,12 @@
 #include <chrono>
 #include <memory>
 
+#include "Common/line_limit.h"
 #include "Common/names.h"
 
 namespace tiller::log {
 namespace {
 
-// Limits the CPU time spent on logging under high load.
-constexpr std::uint64_t kMaxLinesPerSecond = 150;
-
 std::atomic<std::uint64_t> g_dropped_lines{0};
 
 // Writes to a non-blocking file descriptor. The appenders of log4cxx block on a
@@ -39,8 +37,15 @@
   // Called with the appender locked.
   void append(const log4cxx::spi::LoggingEventPtr& event,
               log4cxx::helpers::Pool& pool) override {
-    if (!AllowLine(
-            event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()))) {
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                            std::chrono::steady_clock::now().time_since_epoch())
+                            .count();
+    if (const auto left_out = m_limit.TakeLeftOut(second); left_out > 0) {
+      Write("level=WARN channel=daemon event=log_lines_left_out count=" +
+            std::to_string(left_out) + "\n");
+    }
+    if (!m_limit.Allow(KindOf(*event), second)) {
+      ++g_dropped_lines;
       return;
     }
     log4cxx::LogString line;
@@ -49,29 +54,14 @@
   }
 
  private:
-  // Applies the rate limit, which important lines always pass. Reports at the
-  // start of a second how many lines were suppressed before.
-  bool AllowLine(bool important) {
-    const auto current_second =
-        std::chrono::duration_cast<std::chrono::seconds>(
-            std::chrono::steady_clock::now().time_since_epoch())
-            .count();
-    if (current_second != m_current_second) {
-      m_current_second = current_second;
-      m_allowed_lines = 0;
-      if (m_suppressed_lines > 0) {
-        Write("level=WARN channel=daemon event=log_lines_left_out count=" +
-              std::to_string(m_suppressed_lines) + "\n");
-      }
-      m_suppressed_lines = 0;
-    }
-    if (important || m_allowed_lines < kMaxLinesPerSecond) {
-      ++m_allowed_lines;
-      return true;
+  static LineKind KindOf(const log4cxx::spi::LoggingEvent& event) {
+    if (event.getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn())) {
+      return LineKind::kImportant;
     }
-    ++m_suppressed_lines;
-    ++g_dropped_lines;
-    return false;
+    const auto& channel = event.getLoggerName();
+    const bool request = channel == NameOf(kChannelNames, Channel::kTraffic) ||
+                         channel == NameOf(kChannelNames, Channel::kEndpoint);
+    return request ? LineKind::kRequest : LineKind::kDecision;
   }
   void Write(const std::string& line) {
     const auto written = write(m_descriptor, line.data(), line.size());
@@ -80,9 +70,7 @@
 
   const int m_descriptor;
   const log4cxx::LayoutPtr m_layout;
-  std::int64_t m_current_second = 0;
-  std::uint64_t m_allowed_lines = 0;     // in the current second
-  std::uint64_t m_suppressed_lines = 0;  // in the current second
+  LineLimit m_limit;
 };
 
 log4cxx::LoggerPtr LoggerFor(Channel channel) {
--- a/Source/Common/log.h
+++ b/Source/Common/log.h
@@ -36,7 +36,8 @@
 
 // Writes events at `level` or above to standard output. Writing never blocks: a
 // line that the pipe or file can't accept at once is dropped and counted. Above
-// a limit of lines per second, only warnings and errors are written.
+// limits of lines per second, only warnings and errors are written; lines of
+// the channels kTraffic and kEndpoint have one limit, all others another one.
 void Configure(Level level);
 // Number of lines dropped since the process started, for metrics.
 std::uint64_t DroppedLines();
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -99,11 +99,13 @@
   }
   if (const auto* request =
           std::get_if<peer::StepDownRequest>(&envelope.message)) {
-    m_failover.Handle(*request);
+    return m_failover.Handle(*request);
+  }
+  if (const auto* query = std::get_if<peer::CommitQuery>(&envelope.message)) {
     m_actions.push_back(
         SendPeer{envelope.from_address,
-                 peer::CommitReport{request->group,
-                                    m_failover.Acknowledged(request->group)}});
+                 peer::CommitReport{query->group,
+                                    m_failover.Acknowledged(query->group)}});
     return;
   }
   if (const auto* report = std::get_if<peer::CommitReport>(&envelope.message)) {
@@ -185,9 +187,9 @@
   for (auto& action : m_failover.TakeActions(&m_next_call)) {
     m_actions.push_back(std::move(action));
   }
-  for (const auto& request : m_failover.TakeStepDownRequests()) {
+  for (const auto& message : m_failover.TakePeerMessages()) {
     for (const auto& peer : m_seats.Peers()) {
-      m_actions.push_back(SendPeer{peer.address, request});
+      m_actions.push_back(SendPeer{peer.address, message});
     }
   }
   const auto promoted = m_failover.TakePromotions();
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -264,7 +264,8 @@
   job->stepped_down_at.reset();
   job->pause_term = std::max(job->pause_term, job->newest_term + 1);
   SendAdminRequest(group, primary, relay::Verb::kStepDown, job->pause_term);
-  m_step_down_requests.push_back({group, primary, job->pause_term});
+  m_peer_messages.push_back(
+      peer::StepDownRequest{group, primary, job->pause_term});
 }
 
 void PrimaryFailover::Handle(const peer::StepDownRequest& request) {
@@ -282,8 +283,8 @@
   return job == m_jobs.end() ? GroupPosition{} : job->second.acknowledged;
 }
 
-std::vector<peer::StepDownRequest> PrimaryFailover::TakeStepDownRequests() {
-  return std::exchange(m_step_down_requests, {});
+std::vector<peer::Message> PrimaryFailover::TakePeerMessages() {
+  return std::exchange(m_peer_messages, {});
 }
 
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -80,8 +80,8 @@
 
   bool OwnsCall(CallId call) const;
   std::vector<Action> TakeActions(CallId* next_call);
-  // Returns the requests to be sent to all other hosts.
-  std::vector<peer::StepDownRequest> TakeStepDownRequests();
+  // Returns the messages to be sent to all other hosts.
+  std::vector<peer::Message> TakePeerMessages();
   // Returns the promotions accepted since the last call, as pairs of group and
   // target.
   std::vector<std::pair<GroupId, EndpointId>> TakePromotions();
@@ -256,7 +256,7 @@
   bool m_tables_current = false;
   std::vector<std::pair<GroupId, EndpointId>> m_promotions;
   std::vector<std::pair<GroupId, EndpointId>> m_confirmed_primaries;
-  std::vector<peer::StepDownRequest> m_step_down_requests;
+  std::vector<peer::Message> m_peer_messages;
   std::vector<Action> m_actions;
 };
 
--- a/Source/Fleet/replica_history.cc
+++ b/Source/Fleet/replica_history.cc
@@ -25,9 +25,9 @@
 template <typename Replicas>
 const Replicas& In(const std::map<GroupId, Replicas>& groups,
                    const GroupId& group) {
-  static const Replicas kNone;
+  static const Replicas none;
   const auto it = groups.find(group);
-  return it == groups.end() ? kNone : it->second;
+  return it == groups.end() ? none : it->second;
 }
 
 }  // namespace
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -35,6 +35,7 @@
                      "table_digest",
                      "table_copy",
                      "step_down_request",
+                     "commit_query",
                      "commit_report"};
 
 constexpr Json::ArrayIndex kMaxListItems = 2048;
@@ -234,6 +235,12 @@
   *message = {StringOr(json, "group"), StringOr(json, "endpoint"),
               UintOr(json, "term")};
 }
+void EncodeBody(const CommitQuery& message, Json::Value* out) {
+  (*out)["group"] = message.group;
+}
+void DecodeBody(const Json::Value& json, CommitQuery* message) {
+  message->group = StringOr(json, "group");
+}
 void EncodeBody(const CommitReport& message, Json::Value* out) {
   (*out)["group"] = message.group;
   (*out)["term"] = JsonUint(message.acknowledged.term);
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -149,8 +149,11 @@
   Term term = 0;
 };
 
-// The answer: all entries of the group's log up to this position are
-// acknowledged, as far as the sender has seen.
+// Asks up to which position the receiver knows the group's log to be
+// acknowledged. The sender replaces the group's primary.
+struct CommitQuery {
+  GroupId group;
+};
 struct CommitReport {
   GroupId group;
   GroupPosition acknowledged;
@@ -162,7 +165,8 @@
                  ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall,
-                 TableDigest, TableCopy, StepDownRequest, CommitReport>;
+                 TableDigest, TableCopy, StepDownRequest, CommitQuery,
+                 CommitReport>;
 
 struct Envelope {
   HostId from;
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -166,6 +166,7 @@
   // ---- contact with other zones (zone_isolation.cc)
   bool InOtherZone(const EndpointId& id) const;
   void RecordContact(const Connection& connection, Refusal refusal);
+  Duration IsolationTimeout() const;
   void CheckIsolation();
   void ProbeOtherZones();
   // True if a commit of the group may be rolled back by hosts that this one
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -16,10 +16,13 @@
 constexpr Milliseconds kContactProbeInterval{80};
 constexpr Milliseconds kContactProbeTimeout{350};
 constexpr std::size_t kContactProbes = 3;
-// The zone is taken to be cut off after this time without contact. Well below
-// the time in which other hosts replace a silent primary, and a multiple of the
-// time in which an endpoint that works answers a probe.
-constexpr Milliseconds kIsolatedAfter{200};
+// The zone is taken to be cut off after this time without contact, or after
+// several response times of the quickest endpoint outside. Well below the time
+// in which other hosts replace a silent primary.
+constexpr Milliseconds kMinIsolationTimeout{200};
+constexpr Milliseconds kMaxIsolationTimeout{600};
+constexpr int kIsolationResponses = 4;
+constexpr char kRefusedText[] = "zone is cut off, retry after 500 ms";
 // A listed replica in this zone prevents a change of primary outside, but not
 // for ever: other hosts leave it out some seconds later than this.
 constexpr Milliseconds kIsolatedWriteLimit{4'000};
@@ -44,10 +47,20 @@
   m_zone_contact.RecordAnswer(Now());
 }
 
+Duration RelayCore::IsolationTimeout() const {
+  Duration quickest = kMaxIsolationTimeout;
+  for (const auto& [id, health] : m_health) {
+    if (!InOtherZone(id)) continue;
+    quickest = std::min(quickest, health.ResponseTime());
+  }
+  return std::clamp<Duration>(quickest * kIsolationResponses,
+                              kMinIsolationTimeout, kMaxIsolationTimeout);
+}
+
 void RelayCore::CheckIsolation() {
   const auto now = Now();
   const bool suspended = now - std::exchange(m_last_tick, now) > kMaxTickGap;
-  const bool isolated = m_zone_contact.SilentFor(now) >= kIsolatedAfter;
+  const bool isolated = m_zone_contact.SilentFor(now) >= IsolationTimeout();
   if (isolated != m_isolated && !(isolated && suspended)) {
     m_isolated = isolated;
     if (isolated) m_counters->Add("zone_isolations");
@@ -117,7 +130,7 @@
     return RefuseInTransaction(session, Refusal::kAborted,
                                "zone is cut off, transaction was rolled back");
   }
-  Refuse(session, Refusal::kBusy, "zone is cut off, retry after 1000 ms");
+  Refuse(session, Refusal::kBusy, kRefusedText);
 }
 
 }  // namespace tiller::relay
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -41,6 +41,7 @@
                 21,
                 20},
       StepDownRequest{"g", "e", 28},
+      CommitQuery{"g"},
       CommitReport{"g", {29, 30}}};
 }
 
