Wait for missing commits anew in each failover; keep only a primary that is known

The time for which a promotion waits for missing commits ran on after the primary was back, so a later failover would have given them up at once; the second round of Failover.CommitsOfADepartedReplicaAreKeptWhilePrimaryIsSilent failed before and passes. An unfinished claim of a group without a primary could promote an endpoint without a name. A report about a group that the host does not know is ignored.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -216,7 +216,6 @@
     if (m_directory->endpoints.count(id) == 0) continue;
     SendAdminRequest(group, id, relay::Verb::kContinue, 0);
   }
-
   job->pause_answers.clear();
   CheckClaimAgain(job);
   job->stage = Stage::kIdle;
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -189,6 +189,7 @@
   if (trigger.empty()) {
     job->suspected_since = {};
     job->others_asked = false;
+    job->commits_missing_since.reset();
     m_history.PrimaryAnswers(group);
     if (!job->check_claim_at || now < *job->check_claim_at || m_reading_claims)
       return;
@@ -241,11 +242,12 @@
                 {"token", std::to_string(job.claim.token)}});
     // The directory may have changed since the primary was suspected.
     job.target = m_directory->groups.at(group).primary;
-    job.keeps_primary =
+    const bool primary_serves =
         job.reason == kReasonUnfinished || FindTrigger(group, job).empty();
-    if (job.keeps_primary && !job.fences_older_promotion) {
+    if (primary_serves && !job.fences_older_promotion) {
       return StartResume(group, &job);
     }
+    job.keeps_primary = primary_serves && !job.target.empty();
     return StartProbe(group, &job);
   }
 }
@@ -274,7 +276,9 @@
 }
 
 void PrimaryFailover::Handle(const peer::CommitReport& report) {
-  auto& acknowledged = m_jobs[report.group].acknowledged;
+  const auto job = m_jobs.find(report.group);
+  if (job == m_jobs.end()) return;  // the group is unknown here
+  auto& acknowledged = job->second.acknowledged;
   acknowledged = std::max(acknowledged, report.acknowledged);
 }
 
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -299,20 +299,31 @@
 TEST(Failover, CommitsOfADepartedReplicaAreKeptWhilePrimaryIsSilent) {
   for (const std::uint64_t seed : {1, 2, 3, 4}) {
     FleetSimulation simulation(5, 3, seed);
-    simulation.Run(seconds(20));
-    simulation.Endpoints().at("e2").leaving = true;
-    simulation.WriteEndpointRow("e2");
-    simulation.Endpoints().at("e1").replication_cut = true;
-    simulation.Run(seconds(3));
-    simulation.Endpoints().at("e2").alive = false;
-    simulation.WriteEndpointRow("e2");
-    simulation.Run(seconds(4));
-    simulation.Endpoints().at("e0").alive = false;
-    simulation.Run(seconds(8));
-    EXPECT_EQ(simulation.promotions, 0) << simulation.TraceText();
-    simulation.Endpoints().at("e0").alive = true;
-    simulation.Endpoints().at("e1").replication_cut = false;
-    simulation.Run(seconds(10));
+    auto& departing = simulation.Endpoints().at("e2");
+    // The time to wait for the commits starts anew each time.
+    for (int round = 0; round < 2; ++round) {
+      departing.alive = true;
+      departing.leaving = false;
+      simulation.WriteEndpointRow("e2");
+      simulation.Run(seconds(40));
+      auto& primary = simulation.Endpoints().at(simulation.PrimaryId());
+      auto& behind = simulation.Endpoints().at(
+          simulation.PrimaryId() == "e0" ? "e1" : "e0");
+      const int promotions = simulation.promotions;
+      departing.leaving = true;
+      simulation.WriteEndpointRow("e2");
+      behind.replication_cut = true;
+      simulation.Run(seconds(3));
+      departing.alive = false;
+      simulation.WriteEndpointRow("e2");
+      simulation.Run(seconds(4));
+      primary.alive = false;
+      simulation.Run(seconds(8));
+      EXPECT_EQ(simulation.promotions, promotions) << simulation.TraceText();
+      primary.alive = true;
+      behind.replication_cut = false;
+      simulation.Run(seconds(10));
+    }
     EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
     EXPECT_TRUE(simulation.AllReplicasResumed());
   }
