--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -399,6 +399,29 @@
   EXPECT_TRUE(simulation.AllReplicasResumed());
 }
 
+// A replica that had not answered a host's first probes was left out much
+// later, although it had answered since, and its commits were lost (soak, seed
+// 140).
+TEST(Failover, ReplicaThatHasAnsweredSinceIsNotLeftOut) {
+  FleetSimulation simulation(3, 3, 4);
+  simulation.Run(seconds(20));
+  simulation.never_answered = {"e2"};
+  simulation.Endpoints().at("e2").alive = false;
+  simulation.Endpoints().at("e0").alive = false;
+  simulation.Run(seconds(3));
+  simulation.Endpoints().at("e2").alive = true;
+  simulation.Endpoints().at("e0").alive = true;
+  simulation.never_answered = {};
+  simulation.Run(seconds(10));
+  EXPECT_EQ(simulation.PrimaryId(), "e0");
+  simulation.Endpoints().at("e1").replication_cut = true;
+  simulation.Run(seconds(1));
+  simulation.Endpoints().at("e0").alive = false;
+  simulation.Run(seconds(5));
+  EXPECT_EQ(simulation.PrimaryId(), "e2");
+  EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
+}
+
 // A row of an endpoint that does not run named itself a replica. Each change of
 // primary waited for its answer and was given up.
 TEST(Failover, StrayRowOfAReplicaDoesNotPreventAChangeOfPrimary) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -453,7 +453,8 @@
     int host, const relay::AdminRequest& request) {
   relay::AdminDone done{request.id, request.endpoint, false, {}};
   const auto it = m_endpoints.find(request.endpoint);
-  done.ever_answered = it != m_endpoints.end();
+  done.ever_answered =
+      it != m_endpoints.end() && never_answered.count(request.endpoint) == 0;
   if (it == m_endpoints.end() || !it->second.alive) return done;
   auto& endpoint = it->second;
   const bool is_primary = request.endpoint == m_primary_id;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -75,6 +75,8 @@
   // One in this many writes and promotions is executed but not answered; 0:
   // none.
   std::uint64_t lose_one_answer_in = 0;
+  // Endpoints that have never answered a statement of any host.
+  std::set<EndpointId> never_answered;
   // Promotions get no answer and are executed that much later; 0: at once.
   Milliseconds promotion_delay{0};
   int promotion_calls = 0;
