--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -11,7 +11,7 @@
 
 constexpr Milliseconds kProbeTimeout{500};
 
-} // namespace
+}  // namespace
 
 void PrimaryFailover::StartAskingOthers(Job *job, const relay::Group &row) {
   job->stage = Stage::kAskingOthers;
@@ -27,18 +27,15 @@
 }
 
 void PrimaryFailover::OnOthersAnswered(const GroupId &group, Job *job) {
-  if (EndIfLed(group, job))
-    return;
+  if (EndIfLed(group, job)) return;
   job->stage = Stage::kIdle;
 }
 
 void PrimaryFailover::RecordLeader(const relay::AdminDone &event,
                                    const EndpointId &primary, Job *job) {
   const auto &status = event.result.status;
-  if (!status || !status->primary || event.endpoint == primary)
-    return;
-  if (!job->leader.empty() && status->term <= job->leader_term)
-    return;
+  if (!status || !status->primary || event.endpoint == primary) return;
+  if (!job->leader.empty() && status->term <= job->leader_term) return;
   job->leader = event.endpoint;
   job->leader_term = status->term;
 }
@@ -75,11 +72,9 @@
   job->seen_endpoints.clear();
   job->old_primary = m_directory->groups.at(group).primary;
   for (const auto &[id, endpoint] : m_directory->endpoints) {
-    if (endpoint.group != group)
-      continue;
+    if (endpoint.group != group) continue;
     job->seen_endpoints[id] = endpoint.process_start_ms;
-    if (id != job->old_primary)
-      job->unanswered_probes.insert(id);
+    if (id != job->old_primary) job->unanswered_probes.insert(id);
   }
   job->probed_replicas = job->unanswered_probes;
   if (job->unanswered_probes.empty()) {
@@ -94,8 +89,7 @@
 void PrimaryFailover::OnProbeAnswered(const GroupId &group, Job *job,
                                       const relay::AdminDone &event) {
   if (!event.answered) {
-    if (EndIfLed(group, job))
-      return;
+    if (EndIfLed(group, job)) return;
     if (!m_history.NeverAnswers(event.endpoint) ||
         job->probed_replicas.size() == 1) {
       return GiveUp(group, job, event.endpoint + " did not answer");
@@ -108,11 +102,10 @@
                 {"reason", "it has never answered"}});
   }
   job->unanswered_probes.erase(event.endpoint);
-  if (!job->unanswered_probes.empty() || EndIfLed(group, job))
-    return;
+  if (!job->unanswered_probes.empty() || EndIfLed(group, job)) return;
   job->stepped_down_at.reset();
   const bool step_down = !job->old_primary.empty() && !job->keeps_primary;
   return step_down ? StartStepDown(group, job) : StartPause(group, job);
 }
 
-} // namespace tiller::fleet
+}  // namespace tiller::fleet
