--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -47,13 +47,25 @@
   OnTableContent(m_tables.Handle(answer));
 }
 
+void FleetCore::ObserveEra(StoreEra era) {
+  if (era <= m_era) return;
+  const auto previous = std::exchange(m_era, era);
+  if (previous > 0) m_counters->Add("store_restored");
+  log::Event(
+      log::Channel::kPlatform,
+      previous > 0 ? log::Level::kWarn : log::Level::kInfo, "store_era",
+      {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}});
+}
+
 void FleetCore::On(const TableRead& event) {
+  ObserveEra(event.era);
   if (event.status != StoreStatus::kDone) m_counters->Add("store_reads_failed");
   if (event.table == kPrimaryTable) return m_failover.Handle(event);
   OnTableAnswer(event);
 }
 
 void FleetCore::On(const TableChanged& event) {
+  ObserveEra(event.era);
   if (event.status != StoreStatus::kDone) {
     m_counters->Add("store_follows_failed");
   }
@@ -61,6 +73,7 @@
 }
 
 void FleetCore::On(const RowWritten& event) {
+  ObserveEra(event.era);
   if (event.status != StoreStatus::kDone) {
     m_counters->Add("store_writes_failed");
   }
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -51,6 +51,8 @@
   // `changed` is nullptr if no content changed.
   void OnTableContent(const TableFollower* changed);
   void Publish();
+  // Records the era that an answer of the store names.
+  void ObserveEra(StoreEra era);
   // Publishes the seats if the view of them has changed.
   void PublishSeats();
   void CollectActions();
@@ -64,6 +66,8 @@
   relay::DirectoryPtr m_directory;
   CallId m_next_call = 1;
   Instant m_tables_current_from{};
+  // The newest era of the store that this host has seen; 0: none yet.
+  StoreEra m_era = 0;
   // The view last published.
   std::optional<limits::SeatView> m_published_seats;
   // Rank of this host in the order of each group, among the holders of seats.
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -16,6 +16,9 @@
 using RowVersion = std::uint64_t;  // from a counter shared by all tables
 using StoreTime = Milliseconds;    // on the store's steady clock
 using CallId = std::uint64_t;
+// Counts how often the store has come back from an older copy of itself. What
+// was written after the copy is gone, and versions are given out again.
+using StoreEra = std::uint64_t;
 
 struct Row {
   std::string key;
@@ -34,6 +37,9 @@
 inline constexpr std::array<std::string_view, 5> kStoreStatusNames = {
     "done", "conflict", "expired", "not_run", "unknown"};
 
+// In the answers, `era` is the store's era when it answered, also if it
+// refused; 0: it did not answer, or does not name its era.
+
 // Full content of a table.
 struct TableRead {
   std::string table;
@@ -42,6 +48,7 @@
   RowVersion version = 0;
   StoreTime now{0};
   CallId call = 0;  // as in ReadTable
+  StoreEra era = 0;
 };
 // Rows that changed after the requested version.
 struct TableChanged {
@@ -51,12 +58,14 @@
   RowVersion version = 0;
   StoreTime now{0};
   CallId call = 0;  // as in FollowTable
+  StoreEra era = 0;
 };
 struct RowWritten {
   CallId call = 0;
   StoreStatus status = StoreStatus::kUnknown;
   RowVersion version = 0;
   StoreTime now{0};
+  StoreEra era = 0;
 };
 enum class PromoteStatus { kDone, kFenced, kNotRun, kUnknown };
 struct PromoteAnswered {
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -161,6 +161,13 @@
   // discarded.
   if (m_loaded && event.version < m_content_version) {
     RecordSuccess(StoreTime{0});
+    m_counters->Add("table_reads_discarded");
+    log::Event(log::Channel::kPlatform, log::Level::kWarn,
+               "table_read_discarded",
+               {{"table", m_table},
+                {"version", std::to_string(event.version)},
+                {"known", std::to_string(m_content_version)},
+                {"era", std::to_string(event.era)}});
     return false;
   }
   RecordSuccess(event.now);
@@ -176,8 +183,11 @@
   const bool replaced = !EndCall(event.call);
   if (event.status == StoreStatus::kExpired) {
     m_read_needed = true;
+    m_counters->Add("table_history_expired");
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "history_expired",
-               {{"table", m_table}});
+               {{"table", m_table},
+                {"after", std::to_string(m_store_version)},
+                {"era", std::to_string(event.era)}});
     return false;
   }
   if (event.status != StoreStatus::kDone) {
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Common/clock.h"
+#include "Common/counters.h"
 #include "Common/random.h"
 #include "Fleet/fleet_messages.h"
 
@@ -25,8 +26,12 @@
 
 class TableFollower {
  public:
-  TableFollower(std::string table, const Clock* clock, Random* random)
-      : m_table(std::move(table)), m_clock(clock), m_random(random) {}
+  TableFollower(std::string table, const Clock* clock, Random* random,
+                Counters* counters)
+      : m_table(std::move(table)),
+        m_clock(clock),
+        m_random(random),
+        m_counters(counters) {}
 
   const std::string& Table() const { return m_table; }
   const std::map<std::string, Row>& Rows() const { return m_rows; }
@@ -91,6 +96,7 @@
   const std::string m_table;
   const Clock* const m_clock;
   Random* const m_random;
+  Counters* const m_counters;
   FollowMode m_mode = FollowMode::kLongPoll;
   Milliseconds m_interval{0};
   std::map<std::string, Row> m_rows;
--- a/Source/Fleet/table_replication.cc
+++ b/Source/Fleet/table_replication.cc
@@ -38,9 +38,9 @@
       m_clock(clock),
       m_random(random),
       m_counters(counters),
-      m_operator_table(operator_table, clock, random),
-      m_endpoint_table(endpoint_table, clock, random),
-      m_seat_rows(kSeatTable, clock, random),
+      m_operator_table(operator_table, clock, random, counters),
+      m_endpoint_table(endpoint_table, clock, random, counters),
+      m_seat_rows(kSeatTable, clock, random, counters),
       m_started_at(clock->Now()) {
   UpdateFollowModes();
 }
