--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -95,10 +95,10 @@
 }
 
 void FleetSimulation::WriteEndpointRow(const EndpointId& id) {
-  const auto& endpoint = m_endpoints.at(id);
+  auto& endpoint = m_endpoints.at(id);
   if (!endpoint.alive || !endpoint.listed) {
-    if (m_tables["endpoints"].erase(id) > 0) {
-      m_history["endpoints"].push_back({id, "", ++m_version, true});
+    if (m_store.tables["endpoints"].erase(id) > 0) {
+      m_store.history["endpoints"].push_back({id, "", ++m_store.version, true});
     }
     return;
   }
@@ -106,6 +106,7 @@
   value["primary"] = id == m_primary_id;
   value["leaving"] = endpoint.leaving;
   value["process_start_ms"] = Json::UInt64(endpoint.process_start_ms);
+  value["report"] = Json::UInt64(++endpoint.report_number);
   PutRow("endpoints", id, ToText(value));
 }
 
@@ -113,6 +114,7 @@
   auto& endpoint = m_endpoints.at(id);
   endpoint.paused_below = 0;
   ++endpoint.process_start_ms;
+  endpoint.report_number = 0;
   AddTrace(id + " restarts");
   WriteEndpointRow(id);
 }
@@ -125,11 +127,42 @@
   PutRow("endpoints", id, ToText(value));
 }
 
+void FleetSimulation::WriteEndpointRows() {
+  for (const auto& [id, endpoint] : m_endpoints) WriteEndpointRow(id);
+}
+
+void FleetSimulation::CopyStore() { m_store_copy = m_store; }
+
+void FleetSimulation::RestoreStore() {
+  m_store = m_store_copy;
+  ++m_era;
+  AddTrace("store restored at " + std::to_string(m_store.version));
+  for (auto& poll : std::exchange(m_long_polls, {})) {
+    if (random.UniformBelow(2) == 0) {
+      m_long_polls.push_back(std::move(poll));
+      continue;
+    }
+    Deliver(poll.host, TableChanged{poll.follow.table,
+                                    StoreStatus::kUnknown,
+                                    {},
+                                    0,
+                                    StoreTime{0},
+                                    poll.follow.call});
+  }
+}
+
+template <typename Answer>
+void FleetSimulation::Stamp(Answer* event) const {
+  event->version = m_store.version;
+  event->now = StoreNow();
+  event->era = m_era;
+}
+
 void FleetSimulation::PutRow(const std::string& table, const std::string& key,
                              const std::string& value) {
-  const Row row{key, value, ++m_version, false};
-  m_tables[table][key] = row;
-  m_history[table].push_back(row);
+  const Row row{key, value, ++m_store.version, false};
+  m_store.tables[table][key] = row;
+  m_store.history[table].push_back(row);
 }
 
 StoreTime FleetSimulation::StoreNow() const {
@@ -178,6 +211,7 @@
                                          Milliseconds answer_limit) {
   if (unanswered_by_store.count(host) == 0) return Deliver(host, event);
   event.status = StoreStatus::kUnknown;
+  event.era = 0;
   const auto& state = *m_hosts[static_cast<std::size_t>(host)];
   m_deliveries.push_back(
       {clock.Now() + answer_limit, host, state.generation, event});
@@ -225,12 +259,13 @@
                  std::holds_alternative<FollowTable>(action) ||
                  std::holds_alternative<WriteRow>(action);
   if (const auto* read = std::get_if<ReadTable>(&action)) {
-    TableRead event{read->table, StoreStatus::kUnknown,
-                    {},          m_version,
-                    StoreNow(),  read->call};
+    TableRead event;
+    event.table = read->table;
+    event.call = read->call;
     if (ReachesStore(host)) {
+      Stamp(&event);
       event.status = StoreStatus::kDone;
-      for (const auto& [key, item] : m_tables[read->table]) {
+      for (const auto& [key, item] : m_store.tables[read->table]) {
         event.rows.push_back(item);
       }
     }
@@ -239,18 +274,19 @@
     m_long_polls.push_back(
         {host, state.generation, *follow, clock.Now() + follow->wait});
   } else if (const auto* write = std::get_if<WriteRow>(&action)) {
-    RowWritten event{write->call, StoreStatus::kUnknown, 0, StoreNow()};
+    RowWritten event;
+    event.call = write->call;
     if (ReachesStore(host)) {
-      const auto it = m_tables[write->table].find(write->key);
+      const auto it = m_store.tables[write->table].find(write->key);
       const RowVersion present =
-          it == m_tables[write->table].end() ? 0 : it->second.version;
+          it == m_store.tables[write->table].end() ? 0 : it->second.version;
       if (present != write->expected) {
         event.status = StoreStatus::kConflict;
       } else {
         PutRow(write->table, write->key, write->value);
         event.status = StoreStatus::kDone;
-        event.version = m_version;
       }
+      Stamp(&event);
       if (lose_one_answer_in > 0 &&
           random.UniformBelow(lose_one_answer_in) == 0) {
         event.status = StoreStatus::kUnknown;
@@ -260,6 +296,7 @@
   } else if (const auto* promote = std::get_if<Promote>(&action)) {
     ++promotion_calls;
     last_promotion_target = promote->endpoint;
+    last_promotion_host = host;
     auto status = PromoteStatus::kUnknown;
     if (promotion_delay.count() == 0) {
       status = HandlePromote(*promote);
@@ -298,23 +335,34 @@
 void FleetSimulation::AnswerLongPolls() {
   std::vector<LongPoll> still_open;
   for (auto& poll : std::exchange(m_long_polls, {})) {
-    TableChanged event{poll.follow.table, StoreStatus::kDone, {},
-                       m_version,         StoreNow(),         poll.follow.call};
+    TableChanged event;
+    event.table = poll.follow.table;
+    event.call = poll.follow.call;
+    event.status = StoreStatus::kDone;
+    Stamp(&event);
     if (poll.lost) {
       if (clock.Now() < poll.deadline + poll.follow.answer_limit) {
         still_open.push_back(std::move(poll));
         continue;
       }
       event.status = StoreStatus::kUnknown;
+      event.era = 0;
       Deliver(poll.host, event);
       continue;
     }
     if (!ReachesStore(poll.host)) {
       event.status = StoreStatus::kUnknown;
+      event.era = 0;
+      Deliver(poll.host, event);
+      continue;
+    }
+    if (poll.follow.after > m_store.version && !poll.waiting) {
+      event.status = StoreStatus::kExpired;
       Deliver(poll.host, event);
       continue;
     }
-    for (const auto& row : m_history[poll.follow.table]) {
+    poll.waiting = true;
+    for (const auto& row : m_store.history[poll.follow.table]) {
       if (row.version > poll.follow.after) event.rows.push_back(row);
     }
     if (event.rows.empty() && clock.Now() < poll.deadline) {
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -35,6 +35,7 @@
   std::uint64_t position = 0;
   Term paused_below = 0;
   std::uint64_t process_start_ms = 0;
+  std::uint64_t report_number = 0;
   // Sent by the primary but not received yet; received in the next step.
   Term sent_term = 0;
   std::uint64_t sent_position = 0;
@@ -62,6 +63,14 @@
   bool AllReplicasResumed() const;
   // The hosts that wait at the store for a change of this table.
   std::set<int> HostsPolling(const std::string& table) const;
+  // Takes the copy of the store from which RestoreStore restores it.
+  void CopyStore();
+  // All that was written since the copy is gone, versions are given out again,
+  // and a new era begins. Some long polls stay open. The operator and the
+  // endpoints write again when the test has them do so.
+  void RestoreStore();
+  // All endpoints write their rows.
+  void WriteEndpointRows();
   // Restarts a host: it loses its state and keeps its name.
   void Restart(int host);
 
@@ -81,6 +90,7 @@
   Milliseconds promotion_delay{0};
   int promotion_calls = 0;
   EndpointId last_promotion_target;
+  int last_promotion_host = 0;
   // Some hosts get no answer from the primary.
   bool primary_partly_unreachable = false;
   // The primary answers, but leaves writes unanswered.
@@ -118,7 +128,8 @@
     int generation = 0;
     FollowTable follow;
     Instant deadline;
-    bool lost = false;  // the answer was lost
+    bool lost = false;     // the answer was lost
+    bool waiting = false;  // the store has accepted it
   };
   void Start(int host);
   void ExecuteActions(int host);
@@ -129,6 +140,9 @@
   template <typename Answer>
   void DeliverStoreAnswer(int host, Answer event, Milliseconds answer_limit);
   bool ReachesStore(int host) const;
+  // Sets the era in which the store answers `event`, and its newest version.
+  template <typename Answer>
+  void Stamp(Answer* event) const;
   void PutRow(const std::string& table, const std::string& key,
               const std::string& value);
   StoreTime StoreNow() const;
@@ -144,9 +158,14 @@
 
   TestRecordCodec m_codec;
   std::vector<std::unique_ptr<Host>> m_hosts;
-  std::map<std::string, std::map<std::string, Row>> m_tables;
-  std::map<std::string, std::vector<Row>> m_history;
-  RowVersion m_version = 0;
+  struct StoreContent {
+    std::map<std::string, std::map<std::string, Row>> tables;
+    std::map<std::string, std::vector<Row>> history;
+    RowVersion version = 0;
+  };
+  StoreContent m_store;
+  StoreContent m_store_copy;
+  StoreEra m_era = 1;
   std::vector<Delivery> m_deliveries;
   std::vector<LongPoll> m_long_polls;
   std::vector<std::pair<Instant, Promote>> m_late_promotions;
