Order what the store says by its era first, then by its versions

Cause: hosts kept what had the higher version. A restored store gives numbers out again, so reads, rows and copies of after the restoration were thrown away as older. A feed that went on after a number given out again missed what lay below it, without an error; a row whose number had been used before was left out as unchanged. Evidence: table_read_discarded, versions 21 to 24 against 26 known, 10,855 times. Change: RowVersion has the era of Store-Era and a number, compared in this order, in every place that compares versions: followers, copies and digests between hosts, seats, claims, the directory. Knowledge of a newer era, from any answer, also of a refusal, or from another host, makes a follower read its table again and replaces its long poll. Why it works: eras only rise, and within one era the store's own order holds.

--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -28,7 +28,7 @@
   auto decoded = m_codec->DecodeConfig(it->second.value);
   if (!decoded) {
     log::Event(log::Channel::kConfig, log::Level::kError, "config_unreadable",
-               {{"row_version", std::to_string(it->second.version)},
+               {{"row_version", TextOf(it->second.version)},
                 {"detail", decoded.error().detail}});
     return;
   }
@@ -38,7 +38,7 @@
   m_config = std::move(decoded.value());
   log::Event(log::Channel::kConfig, log::Level::kInfo, "config_adopted",
              {{"version", std::to_string(m_config->version)},
-              {"row_version", std::to_string(m_config_version)},
+              {"row_version", TextOf(m_config_version)},
               {"routes", std::to_string(m_config->routes.size())},
               {"keys", std::to_string(m_config->keys.size())}});
 }
@@ -74,8 +74,8 @@
         entry.endpoint.process_start_ms != decoded.value().process_start_ms;
     const bool is_primary = decoded.value().primary;
     if (!is_primary) {
-      entry.primary_since = 0;
-    } else if (entry.primary_since == 0 || restarted) {
+      entry.primary_since = {};
+    } else if (entry.primary_since == RowVersion{} || restarted) {
       entry.primary_since = row.version;
     }
     entry.endpoint = std::move(decoded.value());
@@ -87,7 +87,7 @@
                 {"group", entry.endpoint.group},
                 {"primary", is_primary ? "yes" : "no"},
                 {"leaving", entry.endpoint.leaving ? "yes" : "no"},
-                {"version", std::to_string(row.version)}});
+                {"version", TextOf(row.version)}});
   }
   // An address may have been reused by a newer endpoint. The older entry is
   // removed if its row is missing.
@@ -118,7 +118,7 @@
   // What it disproved while it was the primary may hold now.
   for (auto& [id, entry] : m_entries) {
     if (entry.endpoint.group != it->second.endpoint.group) continue;
-    entry.disproved_since = 0;
+    entry.disproved_since = {};
   }
 }
 
@@ -137,7 +137,7 @@
     entry.not_primary = id != endpoint;
     if (id == endpoint) {
       entry.confirmed_version = entry.version;
-      entry.disproved_since = 0;
+      entry.disproved_since = {};
     } else {
       entry.disproved_since = entry.primary_since;
     }
@@ -145,17 +145,20 @@
 }
 
 RowVersion DirectoryBuilder::PrimarySince(const Entry& entry) {
-  if (entry.primary_since != 0) {
-    return entry.primary_since == entry.disproved_since ? 0
+  if (entry.primary_since != RowVersion{}) {
+    return entry.primary_since == entry.disproved_since ? RowVersion{}
                                                         : entry.primary_since;
   }
-  return entry.confirmed_version == entry.version ? entry.version : 0;
+  return entry.confirmed_version == entry.version ? entry.version
+                                                  : RowVersion{};
 }
 
 EndpointId DirectoryBuilder::ChoosePrimary(const GroupId& group) const {
   const Entry* best = nullptr;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.endpoint.group != group || PrimarySince(entry) == 0) continue;
+    if (entry.endpoint.group != group || PrimarySince(entry) == RowVersion{}) {
+      continue;
+    }
     if (entry.not_primary) continue;
     if (best == nullptr || PrimarySince(entry) > PrimarySince(*best)) {
       best = &entry;
@@ -182,8 +185,10 @@
     copy.primary = ChoosePrimary(group.name);
   }
   for (const auto& [id, entry] : m_entries) {
-    const bool says_primary = entry.primary_since != 0;
-    if (says_primary && PrimarySince(entry) == 0) continue;
+    const bool says_primary = entry.primary_since != RowVersion{};
+    if (says_primary && PrimarySince(entry) == RowVersion{}) {
+      continue;
+    }
     auto& copy = out->endpoints[id];
     copy = entry.endpoint;
     copy.leaving |= m_zones_out_of_service.count(copy.zone) > 0;
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -71,26 +71,27 @@
  private:
   struct Entry {
     relay::Endpoint endpoint;
-    RowVersion version = 0;
+    RowVersion version;
     // Version of the row in which the endpoint began to report itself as
-    // primary; 0 if it does not.
-    RowVersion primary_since = 0;
+    // primary; the default value if it does not.
+    RowVersion primary_since;
     // Value of primary_since that was disproved by another endpoint's answer.
-    RowVersion disproved_since = 0;
+    RowVersion disproved_since;
     // Version of the row when the endpoint answered that it is the primary.
-    RowVersion confirmed_version = 0;
+    RowVersion confirmed_version;
     // Time since which its row has been missing.
     std::optional<Instant> missing_since;
     bool not_primary = false;
   };
-  // The version from which the entry counts as primary; 0: it does not.
+  // The version from which the entry counts as primary; the default value: it
+  // does not.
   static RowVersion PrimarySince(const Entry& entry);
   EndpointId ChoosePrimary(const GroupId& group) const;
 
   const RecordCodec* const m_codec;
   const Clock* const m_clock;
   std::optional<FleetConfig> m_config;
-  RowVersion m_config_version = 0;
+  RowVersion m_config_version;
   std::set<ZoneId> m_zones_out_of_service;
   std::map<EndpointId, Entry> m_entries;
   std::map<EndpointId, RowVersion> m_unreadable_versions;
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -86,7 +86,9 @@
       GiveUp(group, &job, "store did not answer");
       continue;
     }
-    OnClaimRead(group, &job, claims[group], event.now);
+    auto& claim = claims[group];
+    if (claim.version == RowVersion{}) claim.version.era = event.version.era;
+    OnClaimRead(group, &job, claim, event.now);
   }
 }
 
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -55,25 +55,48 @@
       log::Channel::kPlatform,
       previous > 0 ? log::Level::kWarn : log::Level::kInfo, "store_era",
       {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}});
+  m_tables.ObserveEra(era);
 }
 
-void FleetCore::On(const TableRead& event) {
-  ObserveEra(event.era);
+template <typename Answer>
+void FleetCore::CheckEra(Answer* answer) {
+  ObserveEra(answer->era);
+  const bool says_nothing = answer->status == StoreStatus::kUnknown ||
+                            answer->status == StoreStatus::kNotRun;
+  if (says_nothing || answer->era == m_era) return;
+  m_counters->Add("store_answers_outdated");
+  answer->status = StoreStatus::kUnknown;
+}
+
+void FleetCore::On(const TableRead& answer) {
+  auto event = answer;
+  CheckEra(&event);
   if (event.status != StoreStatus::kDone) m_counters->Add("store_reads_failed");
   if (event.table == kPrimaryTable) return m_failover.Handle(event);
   OnTableAnswer(event);
 }
 
-void FleetCore::On(const TableChanged& event) {
-  ObserveEra(event.era);
+void FleetCore::On(const TableChanged& answer) {
+  auto event = answer;
+  CheckEra(&event);
+  // Versions of an earlier era have been given out again: changes below the
+  // requested one may be missing.
+  if (event.status == StoreStatus::kDone && event.after.era != event.era) {
+    event.status = StoreStatus::kExpired;
+  }
   if (event.status != StoreStatus::kDone) {
     m_counters->Add("store_follows_failed");
   }
   OnTableAnswer(event);
 }
 
-void FleetCore::On(const RowWritten& event) {
-  ObserveEra(event.era);
+void FleetCore::On(const RowWritten& answer) {
+  auto event = answer;
+  CheckEra(&event);
+  // The row may have had the expected version by chance.
+  if (event.status == StoreStatus::kDone && event.expected.era != event.era) {
+    event.status = StoreStatus::kUnknown;
+  }
   if (event.status != StoreStatus::kDone) {
     m_counters->Add("store_writes_failed");
   }
@@ -107,6 +130,7 @@
 void FleetCore::On(const PeerReceived& event) {
   const auto& envelope = event.envelope;
   if (const auto* digest = std::get_if<peer::TableDigest>(&envelope.message)) {
+    for (const auto& item : digest->tables) ObserveEra(item.era);
     m_tables.Handle(envelope, *digest);
     return OnTableContent(nullptr);
   }
@@ -125,6 +149,7 @@
     return m_failover.Handle(*report);
   }
   if (const auto* copy = std::get_if<peer::TableCopy>(&envelope.message)) {
+    ObserveEra(copy->era);
     return OnTableContent(m_tables.Handle(*copy));
   }
   if (const auto* request =
@@ -142,7 +167,7 @@
   m_seats.Confirm(seat_rows.CompleteAt());
   if (changed == nullptr) return;
   if (changed == &seat_rows) {
-    m_seats.Update(seat_rows.Rows());
+    m_seats.Update(seat_rows.Rows(), seat_rows.ContentVersion().era);
     return PublishSeats();
   }
   if (changed == &m_tables.OperatorTable()) {
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -51,8 +51,12 @@
   // `changed` is nullptr if no content changed.
   void OnTableContent(const TableFollower* changed);
   void Publish();
-  // Records the era that an answer of the store names.
+  // Records an era that the store has begun.
   void ObserveEra(StoreEra era);
+  // Records the era of an answer. The status of an answer that an earlier era
+  // gave becomes kUnknown: what it says may have been lost since.
+  template <typename Answer>
+  void CheckEra(Answer* answer);
   // Publishes the seats if the view of them has changed.
   void PublishSeats();
   void CollectActions();
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -2,6 +2,7 @@
 // The store is modeled as tables of versioned rows; see docs/PLATFORM.md.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,17 +14,27 @@
 
 namespace tiller::fleet {
 
-using RowVersion = std::uint64_t;  // from a counter shared by all tables
-using StoreTime = Milliseconds;    // on the store's steady clock
+using StoreTime = Milliseconds;  // on the store's steady clock
 using CallId = std::uint64_t;
 // Counts how often the store has come back from an older copy of itself. What
-// was written after the copy is gone, and versions are given out again.
+// was written after the copy is gone, and its numbers are given out again.
 using StoreEra = std::uint64_t;
 
+// Orders all changes of the store, also across its eras.
+struct RowVersion {
+  StoreEra era = 0;
+  std::uint64_t number = 0;  // from a counter shared by all tables
+  auto operator<=>(const RowVersion&) const = default;
+};
+// As ERA.NUMBER, for log lines.
+inline std::string TextOf(const RowVersion& version) {
+  return std::to_string(version.era) + "." + std::to_string(version.number);
+}
+
 struct Row {
   std::string key;
   std::string value;
-  RowVersion version = 0;
+  RowVersion version;
   bool deleted = false;
 };
 
@@ -45,7 +56,7 @@
   std::string table;
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<Row> rows;
-  RowVersion version = 0;
+  RowVersion version;
   StoreTime now{0};
   CallId call = 0;  // as in ReadTable
   StoreEra era = 0;
@@ -55,15 +66,17 @@
   std::string table;
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<Row> rows;
-  RowVersion version = 0;
+  RowVersion version;
   StoreTime now{0};
   CallId call = 0;  // as in FollowTable
+  RowVersion after;
   StoreEra era = 0;
 };
 struct RowWritten {
   CallId call = 0;
   StoreStatus status = StoreStatus::kUnknown;
-  RowVersion version = 0;
+  RowVersion expected;  // as in WriteRow
+  RowVersion version;
   StoreTime now{0};
   StoreEra era = 0;
 };
@@ -92,7 +105,7 @@
 // `wait` has elapsed.
 struct FollowTable {
   std::string table;
-  RowVersion after = 0;
+  RowVersion after;
   Milliseconds wait{0};
   Milliseconds answer_limit{1'200};
   CallId call = 0;
@@ -102,7 +115,7 @@
   std::string table;
   std::string key;
   std::string value;
-  RowVersion expected = 0;  // 0: the row must not exist
+  RowVersion expected;  // number 0: the row must not exist
 };
 struct Promote {
   CallId call = 0;
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -111,7 +111,7 @@
     // promotions under older ones.
     bool settled = false;
     GroupPosition acknowledged;  // as known to the hosts that have held it
-    RowVersion version = 0;
+    RowVersion version;
   };
   struct Job {
     Stage stage = Stage::kIdle;
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -103,9 +103,10 @@
   row.renewed_at = StoreNow();
   row.adopted_at = m_held_seat ? m_adopted_at : row.renewed_at;
   row.counts_from = row.renewed_at + kSeatVisibilityDelay;
+  row.version.era = m_era;
   if (seat >= m_seats.size()) return row;
   const auto& previous = m_seats[seat];
-  row.version = previous.version;
+  if (!previous.NeverUsed()) row.version = previous.version;
   const bool still_counted =
       row.renewed_at < previous.renewed_at + kLease + kSeatVisibilityDelay;
   if (still_counted) row.counts_from = previous.counts_from;
@@ -137,8 +138,7 @@
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
     const auto& seat = m_seats[i];
     if (seat.host == m_self.host) return i;
-    const bool never_used = seat.version == 0;
-    if (never_used || seat.renewed_at + kLease < m_store_time) {
+    if (seat.NeverUsed() || seat.renewed_at + kLease < m_store_time) {
       free.push_back(i);
     }
   }
@@ -158,8 +158,9 @@
   m_complete_at = std::max(m_complete_at, complete_at);
 }
 
-void SeatTable::Update(const std::map<std::string, Row>& rows) {
+void SeatTable::Update(const std::map<std::string, Row>& rows, StoreEra era) {
   const auto now = m_clock->Now();
+  m_era = era;
   // Rows are never removed, so a seat keeps its number. Numbers without a row
   // were never used.
   for (const auto& [key, row] : rows) {
@@ -275,7 +276,7 @@
   for (std::size_t i = 0; i < m_seats.size(); ++i) {
     const auto& seat = m_seats[i];
     if (seat.counts_from > StoreNow()) continue;
-    if (seat.version == 0) continue;
+    if (seat.NeverUsed()) continue;
     // Uses the time at which the rows were complete: no host can renew its
     // lease while the store is unavailable.
     if (seat.renewed_at + kLease + kCountedPastLease <= m_complete_at) continue;
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -46,8 +46,8 @@
 
   // Returns the next write that is due. At most one is outstanding.
   std::optional<Action> NextCall(CallId* next_call);
-  // Applies the rows of the seat table.
-  void Update(const std::map<std::string, Row>& rows);
+  // Applies the rows of the seat table in this era of the store.
+  void Update(const std::map<std::string, Row>& rows, StoreEra era);
   // Records that the rows were complete at this time.
   void Confirm(StoreTime complete_at);
   // The time on the store's clock, never earlier than the true time; nullopt if
@@ -85,7 +85,8 @@
     // When the current process of the holder took the seat or took it over from
     // an earlier process.
     StoreTime adopted_at{0};
-    RowVersion version = 0;
+    RowVersion version;  // number 0: the store has no row of it
+    bool NeverUsed() const { return version.number == 0 && host.empty(); }
   };
   std::size_t ChooseSeat() const;
   bool IsPeer(const Seat& seat) const;
@@ -115,6 +116,7 @@
   StoreTime m_store_time{0};
   Instant m_store_time_requested_at{};
   bool m_loaded = false;
+  StoreEra m_era = 0;  // of the rows
   Instant m_next_renew_at{};
   // Consecutive writes that failed.
   int m_failures = 0;
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -39,6 +39,13 @@
   m_call_requested = true;
 }
 
+void TableFollower::ObserveEra(StoreEra era) {
+  if (!m_loaded || m_content_version.era >= era) return;
+  m_read_needed = true;
+  RestartLongPoll();
+  if (m_mode != FollowMode::kPaused) RequestCall();
+}
+
 void TableFollower::RequestLargeCall() {
   RequestCall();
   m_large_expected = true;
@@ -109,7 +116,7 @@
     log::Event(log::Channel::kPlatform, log::Level::kWarn, "store_lost",
                {{"table", m_table},
                 {"status", std::string(NameOf(kStoreStatusNames, status))},
-                {"version", std::to_string(m_content_version)}});
+                {"version", TextOf(m_content_version)}});
   }
   m_next_call_at =
       m_clock->Now() +
@@ -165,14 +172,15 @@
     log::Event(log::Channel::kPlatform, log::Level::kWarn,
                "table_read_discarded",
                {{"table", m_table},
-                {"version", std::to_string(event.version)},
-                {"known", std::to_string(m_content_version)},
-                {"era", std::to_string(event.era)}});
+                {"version", TextOf(event.version)},
+                {"known", TextOf(m_content_version)}});
     return false;
   }
   RecordSuccess(event.now);
   m_rows.clear();
   m_deletions.clear();
+  m_content_version =
+      std::max(m_content_version, RowVersion{event.version.era, 0});
   for (const auto& row : event.rows) Apply(row);
   m_deletions_known_from = m_content_version;
   m_loaded = true;
@@ -182,11 +190,12 @@
 bool TableFollower::Handle(const TableChanged& event) {
   const bool replaced = !EndCall(event.call);
   if (event.status == StoreStatus::kExpired) {
+    if (replaced) return false;
     m_read_needed = true;
     m_counters->Add("table_history_expired");
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "history_expired",
                {{"table", m_table},
-                {"after", std::to_string(m_store_version)},
+                {"after", TextOf(event.after)},
                 {"era", std::to_string(event.era)}});
     return false;
   }
@@ -210,54 +219,70 @@
 }
 
 peer::TableDigest::Item TableFollower::Digest() const {
-  return {m_table, m_content_version, m_store_version,
-          static_cast<std::uint64_t>(m_complete_at.count()), false};
+  return {m_table,
+          m_content_version.number,
+          m_store_version.number,
+          static_cast<std::uint64_t>(m_complete_at.count()),
+          false,
+          m_content_version.era};
 }
 
 peer::TableCopy TableFollower::CopySince(RowVersion version) const {
   peer::TableCopy copy;
   copy.table = m_table;
-  copy.version = m_content_version;
-  copy.complete_to = m_store_version;
+  copy.era = m_content_version.era;
+  copy.version = m_content_version.number;
+  copy.complete_to = m_store_version.number;
   copy.complete_at_ms = static_cast<std::uint64_t>(m_complete_at.count());
-  if (version >= m_deletions_known_from) copy.base = version;
+  const bool changes_known =
+      version.era == copy.era && version >= m_deletions_known_from;
+  if (changes_known) copy.base = version.number;
   for (const auto& [key, row] : m_rows) {
-    if (row.version <= copy.base) continue;
-    copy.rows.push_back({key, row.value, row.version, false});
+    if (row.version.number <= copy.base) continue;
+    copy.rows.push_back({key, row.value, row.version.number, false});
   }
   if (copy.base == 0) return copy;
   for (const auto& [key, deleted_at] : m_deletions) {
-    if (deleted_at <= copy.base) continue;
-    copy.rows.push_back({key, {}, deleted_at, true});
+    if (deleted_at.number <= copy.base) continue;
+    copy.rows.push_back({key, {}, deleted_at.number, true});
   }
   return copy;
 }
 
 bool TableFollower::Adopt(const peer::TableCopy& copy) {
-  if (copy.version == 0) return false;
-  if (m_loaded && copy.version <= m_content_version) return false;
+  const RowVersion version{copy.era, copy.version};
+  if (version == RowVersion{}) return false;
+  if (m_loaded && version <= m_content_version) return false;
   const bool whole = copy.base == 0;
+  const RowVersion base{copy.era, copy.base};
   // Changes between the local content and the copy's base would be missing.
-  if (!whole && (!m_loaded || copy.base > m_content_version)) return false;
+  if (!whole && (!m_loaded || base > m_content_version)) return false;
+  // The changes are relative to content of this era.
+  if (!whole && copy.era != m_content_version.era) return false;
   if (whole) {
     m_rows.clear();
     m_deletions.clear();
-    m_deletions_known_from = copy.version;
+    m_deletions_known_from = version;
   }
   for (const auto& row : copy.rows) {
-    Apply({row.key, row.value, row.version, row.deleted});
+    Apply({row.key, row.value, {copy.era, row.version}, row.deleted});
   }
-  m_content_version = copy.version;
+  // The long poll in progress asks for the changes of the older era.
+  if (m_content_version.era != copy.era) RestartLongPoll();
+  m_content_version = version;
   m_loaded = true;
   m_read_needed = false;
-  Confirm({m_table, copy.version, copy.complete_to, copy.complete_at_ms});
+  Confirm({m_table, copy.version, copy.complete_to, copy.complete_at_ms, false,
+           copy.era});
   return true;
 }
 
 void TableFollower::Confirm(const peer::TableDigest::Item& item) {
-  if (!m_loaded || item.version > m_content_version) return;
+  if (!m_loaded || item.era != m_content_version.era) return;
+  if (item.version > m_content_version.number) return;
   m_store_version =
-      std::max({m_store_version, item.complete_to, m_content_version});
+      std::max({m_store_version, RowVersion{item.era, item.complete_to},
+                m_content_version});
   m_complete_at =
       std::max(m_complete_at,
                StoreTime(static_cast<StoreTime::rep>(item.complete_at_ms)));
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -2,6 +2,9 @@
 // polls for changes. Reads the table again if the store has discarded the
 // change history. While it is paused, it calls the store only for the first
 // read; changes come as copies from other hosts.
+//
+// Content of an older era of the store is kept until the table has been read
+// again in the newer one, or a copy of that has arrived.
 #pragma once
 
 #include <map>
@@ -51,6 +54,8 @@
   // `interval` is the time from an answer to the next call; it applies to
   // kInterval and kLongPoll. The first call in a new mode does not wait.
   void SetMode(FollowMode mode, Milliseconds interval = Milliseconds{0});
+  // Records that the store has begun a new era.
+  void ObserveEra(StoreEra era);
   // Makes one call without waiting, also while paused, unless one is in
   // progress.
   void RequestCall() { m_call_requested |= m_call == 0; }
@@ -103,7 +108,7 @@
   // Versions at which rows were deleted, complete from
   // `m_deletions_known_from`.
   std::map<std::string, RowVersion> m_deletions;
-  RowVersion m_deletions_known_from = 0;
+  RowVersion m_deletions_known_from;
   bool m_loaded = false;
   CallId m_last_call = 0;
   // The call in progress and the check in progress; 0: none.
@@ -114,9 +119,9 @@
   bool m_check_requested = false;
   bool m_large_expected = false;
   bool m_read_needed = true;
-  // Store version up to which changes have been applied.
-  RowVersion m_store_version = 0;
-  RowVersion m_content_version = 0;
+  // Store version up to which changes have been applied. Both are of one era.
+  RowVersion m_store_version;
+  RowVersion m_content_version;
   StoreTime m_complete_at{0};
   int m_failures = 0;
   Instant m_next_call_at{};
--- a/Source/Fleet/table_replication.cc
+++ b/Source/Fleet/table_replication.cc
@@ -99,13 +99,18 @@
   if (follower != &m_seat_rows) {
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "table_adopted",
                {{"table", copy.table},
-                {"version", std::to_string(copy.version)},
+                {"version", TextOf({copy.era, copy.version})},
                 {"base", std::to_string(copy.base)}});
   }
   NotifySubscribers(*follower);
   return follower;
 }
 
+void TableReplication::ObserveEra(StoreEra era) {
+  for (auto* follower : Followers()) follower->ObserveEra(era);
+  if (ReadsStore()) m_seat_rows.RequestCall();
+}
+
 void TableReplication::Handle(const peer::Envelope& envelope,
                               const peer::TableDigest& digest) {
   if (digest.answer) OnAnswer(envelope);
@@ -118,16 +123,17 @@
     auto* follower = FollowerOf(item.table);
     if (follower == nullptr) continue;
     follower->Confirm(item);
-    if (item.version > follower->ContentVersion()) {
+    const RowVersion version{item.era, item.version};
+    if (version > follower->ContentVersion()) {
       if (item.large) GetLargeChange(address, follower);
       sender_is_newer |= !item.large;
       continue;
     }
-    if (item.version == follower->ContentVersion()) continue;
+    if (version == follower->ContentVersion()) continue;
     auto& sent_at = m_copy_sent_at[address + "/" + item.table];
     if (!digest.fetch && now - sent_at < kCopyInterval) continue;
     sent_at = now;
-    SendCopy(address, *follower, item.version, digest.fetch);
+    SendCopy(address, *follower, version, digest.fetch);
   }
   if (m_operator_table.CompleteAt() - complete_before >= kConfirmationStep) {
     ConfirmToSubscribers();
--- a/Source/Fleet/table_replication.h
+++ b/Source/Fleet/table_replication.h
@@ -2,8 +2,8 @@
 // from other hosts that read it. In a large fleet only some hosts, the readers,
 // follow the store; see reader_choice.h. The others are their subscribers.
 //
-// - Copies only become newer. A host that was cut off cannot bring an older
-//   configuration, with a key that was withdrawn, back into force.
+// - Copies only become newer: by the store's era first, then by its versions. A
+//   host that was cut off cannot bring older content back.
 // - A host that is not a reader asks two readers at a fixed interval for their
 //   versions and for the time on the store's clock at which their copies were
 //   complete. Copies that were not complete recently are stale: the host then
@@ -55,6 +55,8 @@
   void Handle(const peer::Envelope& envelope, const peer::TableDigest& digest);
   // Reads the seats once, also while this host does not follow the store.
   void RequestSeats() { m_seat_rows.RequestCall(); }
+  // Records that the store has begun a new era.
+  void ObserveEra(StoreEra era);
   void Tick();
   std::vector<Action> TakeActions();
 
--- a/Source/Fleet/table_sources.cc
+++ b/Source/Fleet/table_sources.cc
@@ -200,7 +200,7 @@
   subscriber.until = now + kSubscriptionTime;
   subscriber.wants_changes = digest.subscribe;
   for (const auto& item : digest.tables) {
-    subscriber.versions[item.table] = item.version;
+    subscriber.versions[item.table] = {item.era, item.version};
   }
   m_reader_until = std::max(m_reader_until, now + kSubscriptionTime);
   UpdateFollowModes();
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -207,6 +207,7 @@
     entry["complete_to"] = JsonUint(item.complete_to);
     entry["complete_at"] = JsonUint(item.complete_at_ms);
     if (item.large) entry["large"] = true;
+    entry["era"] = JsonUint(item.era);
     (*out)["tables"].append(std::move(entry));
   }
   if (message.fetch) (*out)["fetch"] = true;
@@ -219,7 +220,7 @@
     message->tables.push_back({StringOr(item, "table"), UintOr(item, "version"),
                                UintOr(item, "complete_to"),
                                UintOr(item, "complete_at"),
-                               BoolOr(item, "large")});
+                               BoolOr(item, "large"), UintOr(item, "era")});
   }
   message->fetch = BoolOr(json, "fetch");
   message->query = BoolOr(json, "query");
@@ -257,6 +258,7 @@
   (*out)["base"] = JsonUint(message.base);
   (*out)["complete_to"] = JsonUint(message.complete_to);
   (*out)["complete_at"] = JsonUint(message.complete_at_ms);
+  (*out)["era"] = JsonUint(message.era);
   for (const auto& row : message.rows) {
     Json::Value entry;
     entry["key"] = row.key;
@@ -272,12 +274,14 @@
   message->base = UintOr(json, "base");
   message->complete_to = UintOr(json, "complete_to");
   message->complete_at_ms = UintOr(json, "complete_at");
+  message->era = UintOr(json, "era");
   for (const auto& row : json["rows"]) {
     auto value = Base64UrlDecode(StringOr(row, "value"));
     if (!value) {
-      // A copy that lacks a row must not count as up to date. Version 0 is
-      // older than every copy, so the receiver ignores it.
+      // A copy that lacks a row must not count as up to date. Version 0 of era
+      // 0 is older than every copy, so the receiver ignores it.
       message->version = 0;
+      message->era = 0;
       return;
     }
     message->rows.push_back({StringOr(row, "key"), std::move(*value),
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -111,6 +111,8 @@
     // The copy is too large to be sent to many hosts. A receiver that lacks it
     // reads the platform's table instead.
     bool large = false;
+    // The platform's era, which both versions are of.
+    std::uint64_t era = 0;
   };
   std::vector<Item> tables;
   // The sender cannot reach the platform and asks for large copies as well.
@@ -139,6 +141,8 @@
   // As in TableDigest::Item.
   std::uint64_t complete_to = 0;
   std::uint64_t complete_at_ms = 0;
+  // The platform's era, which all versions are of.
+  std::uint64_t era = 0;
 };
 
 // Asks the receiver to make a primary of a lower term step down. The sender
--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -149,6 +149,8 @@
   bool leaving = false;  // draining, or its zone is taken out of service
   std::size_t slots = 1;
   // Start of its process, Unix time in milliseconds.
+  // Counts the reports of this process; 0: unknown.
+  std::uint64_t report_number = 0;
   std::uint64_t process_start_ms = 0;
 };
 
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -46,6 +46,7 @@
   out.primary = BoolOr(json.value(), "primary");
   out.leaving = BoolOr(json.value(), "leaving");
   out.process_start_ms = UintOr(json.value(), "process_start_ms");
+  out.report_number = UintOr(json.value(), "report");
   return out;
 }
 
@@ -98,7 +99,7 @@
   auto& endpoint = m_endpoints.at(id);
   if (!endpoint.alive || !endpoint.listed) {
     if (m_store.tables["endpoints"].erase(id) > 0) {
-      m_store.history["endpoints"].push_back({id, "", ++m_store.version, true});
+      m_store.history["endpoints"].push_back({id, "", NextVersion(), true});
     }
     return;
   }
@@ -131,23 +132,33 @@
   for (const auto& [id, endpoint] : m_endpoints) WriteEndpointRow(id);
 }
 
+RowVersion FleetSimulation::NextVersion() {
+  ++m_store.version.number;
+  return m_store.version;
+}
+
 void FleetSimulation::CopyStore() { m_store_copy = m_store; }
 
 void FleetSimulation::RestoreStore() {
+  const auto era = m_store.version.era + 1;
   m_store = m_store_copy;
-  ++m_era;
-  AddTrace("store restored at " + std::to_string(m_store.version));
+  m_store.version.era = era;
+  for (auto& [table, rows] : m_store.tables) {
+    for (auto& [key, row] : rows) row.version.era = era;
+  }
+  for (auto& [table, rows] : m_store.history) {
+    for (auto& row : rows) row.version.era = era;
+  }
+  AddTrace("store restored at " + TextOf(m_store.version));
   for (auto& poll : std::exchange(m_long_polls, {})) {
     if (random.UniformBelow(2) == 0) {
       m_long_polls.push_back(std::move(poll));
       continue;
     }
-    Deliver(poll.host, TableChanged{poll.follow.table,
-                                    StoreStatus::kUnknown,
-                                    {},
-                                    0,
-                                    StoreTime{0},
-                                    poll.follow.call});
+    TableChanged event;
+    event.table = poll.follow.table;
+    event.call = poll.follow.call;
+    Deliver(poll.host, event);
   }
 }
 
@@ -155,12 +166,12 @@
 void FleetSimulation::Stamp(Answer* event) const {
   event->version = m_store.version;
   event->now = StoreNow();
-  event->era = m_era;
+  event->era = m_store.version.era;
 }
 
 void FleetSimulation::PutRow(const std::string& table, const std::string& key,
                              const std::string& value) {
-  const Row row{key, value, ++m_store.version, false};
+  const Row row{key, value, NextVersion(), false};
   m_store.tables[table][key] = row;
   m_store.history[table].push_back(row);
 }
@@ -276,11 +287,13 @@
   } else if (const auto* write = std::get_if<WriteRow>(&action)) {
     RowWritten event;
     event.call = write->call;
+    event.expected = write->expected;
     if (ReachesStore(host)) {
       const auto it = m_store.tables[write->table].find(write->key);
-      const RowVersion present =
-          it == m_store.tables[write->table].end() ? 0 : it->second.version;
-      if (present != write->expected) {
+      const auto present = it == m_store.tables[write->table].end()
+                               ? 0
+                               : it->second.version.number;
+      if (present != write->expected.number) {
         event.status = StoreStatus::kConflict;
       } else {
         PutRow(write->table, write->key, write->value);
@@ -337,6 +350,7 @@
   for (auto& poll : std::exchange(m_long_polls, {})) {
     TableChanged event;
     event.table = poll.follow.table;
+    event.after = poll.follow.after;
     event.call = poll.follow.call;
     event.status = StoreStatus::kDone;
     Stamp(&event);
@@ -356,14 +370,15 @@
       Deliver(poll.host, event);
       continue;
     }
-    if (poll.follow.after > m_store.version && !poll.waiting) {
+    if (poll.follow.after.number > m_store.version.number && !poll.waiting) {
       event.status = StoreStatus::kExpired;
       Deliver(poll.host, event);
       continue;
     }
     poll.waiting = true;
     for (const auto& row : m_store.history[poll.follow.table]) {
-      if (row.version > poll.follow.after) event.rows.push_back(row);
+      if (row.version.number > poll.follow.after.number)
+        event.rows.push_back(row);
     }
     if (event.rows.empty() && clock.Now() < poll.deadline) {
       still_open.push_back(std::move(poll));
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -140,6 +140,7 @@
   template <typename Answer>
   void DeliverStoreAnswer(int host, Answer event, Milliseconds answer_limit);
   bool ReachesStore(int host) const;
+  RowVersion NextVersion();
   // Sets the era in which the store answers `event`, and its newest version.
   template <typename Answer>
   void Stamp(Answer* event) const;
@@ -161,11 +162,10 @@
   struct StoreContent {
     std::map<std::string, std::map<std::string, Row>> tables;
     std::map<std::string, std::vector<Row>> history;
-    RowVersion version = 0;
+    RowVersion version{1, 0};
   };
   StoreContent m_store;
   StoreContent m_store_copy;
-  StoreEra m_era = 1;
   std::vector<Delivery> m_deliveries;
   std::vector<LongPoll> m_long_polls;
   std::vector<std::pair<Instant, Promote>> m_late_promotions;
