Give each era of the store fencing tokens of its own; distrust claims of older eras

Cause: a claim is a row of ours, which nobody writes again when the store comes back from an older copy. The next holder counted on from the older row and got the token of the lost claim, while the holder of that one went on. What the older row says, that a promotion was settled or that no claim is open, proves nothing either. Change: a claim says in which era it was made, and tokens begin anew above all of the era before. A claim of an older era is taken as one with a promotion pending; it is replaced only when a lost claim cannot be fresh any more. A holder stops acting when it learns of a new era. Replicas are then asked whether they are paused. Conclusion: fencing holds across restorations, since a token of an older era is always lower.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -32,10 +32,12 @@
 constexpr Milliseconds kClaimCheckDelay{3'000};
 constexpr Milliseconds kClaimCheckRankDelay{500};
 constexpr std::size_t kClaimCheckHosts = 3;
+constexpr std::uint64_t kTokensPerEra = 1'000'000;
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
                         StoreTime now, bool finished, const EndpointId& target,
-                        bool settled, const GroupPosition& acknowledged) {
+                        bool settled, const GroupPosition& acknowledged,
+                        StoreEra era) {
   Json::Value out;
   out["holder"] = holder;
   out["token"] = Json::UInt64(token);
@@ -45,6 +47,7 @@
   out["settled"] = settled;
   out["acknowledged_term"] = Json::UInt64(acknowledged.term);
   out["acknowledged_position"] = Json::UInt64(acknowledged.position);
+  out["era"] = Json::UInt64(era);
   return ToText(out);
 }
 
@@ -78,6 +81,7 @@
         BoolOr(value, "settled"),
         {UintOr(value, "acknowledged_term"),
          UintOr(value, "acknowledged_position")},
+        UintOr(value, "era"),
         row.version};
   }
   for (auto& [group, job] : m_jobs) {
@@ -92,6 +96,34 @@
   }
 }
 
+void PrimaryFailover::ObserveEra(StoreEra era) {
+  m_seen_earlier_era |= m_era > 0;
+  m_era = era;
+  m_era_since = m_clock->Now();
+  if (!m_seen_earlier_era || !m_directory) return;
+  for (auto& [group, job] : m_jobs) {
+    const bool claimed = job.stage != Stage::kIdle &&
+                         job.stage != Stage::kAskingOthers &&
+                         job.stage != Stage::kReadingClaim;
+    if (claimed) Abandon(group, &job, "the claim may be lost");
+  }
+  // The holder of a lost claim may have died and left replicas paused.
+  for (const auto& [id, endpoint] : m_directory->endpoints)
+    AskReplica(endpoint);
+}
+
+bool PrimaryFailover::MayHaveSuccessors(const Claim& claim) const {
+  if (claim.era >= m_era) return false;
+  const bool group_was_claimed = claim.version.number > 0;
+  return group_was_claimed || m_seen_earlier_era;
+}
+
+void PrimaryFailover::PostponeClaim(Job* job) {
+  CheckClaimAgain(job);
+  job->stage = Stage::kIdle;
+  job->next_attempt_at = m_clock->Now() + kRetryBackoff;
+}
+
 void PrimaryFailover::OnClaimRead(const GroupId& group, Job* job,
                                   const Claim& claim, StoreTime now) {
   job->acknowledged = std::max(job->acknowledged, claim.acknowledged);
@@ -104,23 +136,23 @@
   }
   if (held_by_other && !claim.finished &&
       now - claim.claimed_at < kClaimLease) {
-    CheckClaimAgain(job);
-    job->stage = Stage::kIdle;
-    job->next_attempt_at = m_clock->Now() + kRetryBackoff;
-    return;
+    return PostponeClaim(job);
   }
   if (held_by_other && claim.finished && claim.promoted &&
       now - claim.claimed_at < kPromotionSettleTime) {
     // Another host has just replaced the primary, and the reports of the
     // endpoints have not arrived yet.
-    CheckClaimAgain(job);
-    job->stage = Stage::kIdle;
-    job->next_attempt_at = m_clock->Now() + kRetryBackoff;
-    return;
+    return PostponeClaim(job);
+  }
+  // The holder of a lost claim may still act under it.
+  if (MayHaveSuccessors(claim) && m_clock->Now() - m_era_since < kClaimLease) {
+    return PostponeClaim(job);
   }
-  job->claim = {m_self, claim.token + 1, now, false,
-                false,  false,           {},  claim.version};
-  job->promotion_pending = !no_open_claim && !claim.settled;
+  const auto token = std::max(claim.token, m_era * kTokensPerEra) + 1;
+  job->claim = {m_self, token, now,   false,        false,
+                false,  {},    m_era, claim.version};
+  job->promotion_pending =
+      (!no_open_claim && !claim.settled) || MayHaveSuccessors(claim);
   job->fences_older_promotion = job->promotion_pending;
   job->claim_sent_at = m_clock->Now();
   job->stage = Stage::kClaiming;
@@ -132,11 +164,12 @@
 // read or last written.
 void PrimaryFailover::WriteClaim(const GroupId& group, Job* job, bool finished,
                                  const EndpointId& target) {
-  job->pending_calls.push_back(WriteRow{
-      0, kPrimaryTable, group,
-      EncodeClaim(m_self, job->claim.token, job->claim.claimed_at, finished,
-                  target, job->claim.settled, job->acknowledged),
-      job->claim.version});
+  job->pending_calls.push_back(
+      WriteRow{0, kPrimaryTable, group,
+               EncodeClaim(m_self, job->claim.token, job->claim.claimed_at,
+                           finished, target, job->claim.settled,
+                           job->acknowledged, job->claim.era),
+               job->claim.version});
 }
 
 bool PrimaryFailover::EnsureClaimFresh(const GroupId& group, Job* job) {
@@ -267,14 +300,18 @@
 void PrimaryFailover::AskReturnedReplicas(const relay::DirectoryPtr& old) {
   if (old == nullptr) return;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
-    if (endpoint.primary || old->endpoints.count(id) > 0) continue;
-    const auto job = m_jobs.find(endpoint.group);
-    if (job == m_jobs.end() || job->second.stage != Stage::kIdle) continue;
-    if (job->second.host_rank >= kClaimCheckHosts) continue;
-    SendAdminRequest(endpoint.group, id, relay::Verb::kStatus, 0);
+    if (old->endpoints.count(id) == 0) AskReplica(endpoint);
   }
 }
 
+void PrimaryFailover::AskReplica(const relay::Endpoint& endpoint) {
+  if (endpoint.primary) return;
+  const auto job = m_jobs.find(endpoint.group);
+  if (job == m_jobs.end() || job->second.stage != Stage::kIdle) return;
+  if (job->second.host_rank >= kClaimCheckHosts) return;
+  SendAdminRequest(endpoint.group, endpoint.id, relay::Verb::kStatus, 0);
+}
+
 // Called when the promotion of the target has been accepted, or to complete an
 // unfinished failover.
 void PrimaryFailover::StartResume(const GroupId& group, Job* job) {
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -56,6 +56,7 @@
       previous > 0 ? log::Level::kWarn : log::Level::kInfo, "store_era",
       {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}});
   m_tables.ObserveEra(era);
+  m_failover.ObserveEra(era);
 }
 
 template <typename Answer>
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -4,7 +4,10 @@
 // - One host acts for a group at a time: the holder of the claim in the group's
 //   row.
 // - Each claim increments the counter in the row. The counter is the fencing
-//   token, so no two holders ever promote with the same token.
+//   token, so no two holders ever promote with the same token. Each era of the
+//   store has tokens of its own, since a claim may be lost when the store comes
+//   back from an older copy of itself. The loss of newer claims is taken into
+//   account in that an older one proves nothing: a promotion may be pending.
 // - An acknowledged commit is in the log of the primary and of at least one
 //   replica. All listed replicas (those with a row in the endpoint table) are
 //   paused before their positions are compared, so no commit can be
@@ -71,6 +74,9 @@
   // All entries of the group's log up to here are acknowledged, as far as this
   // host knows.
   GroupPosition Acknowledged(const GroupId& group) const;
+  // Records that the store has begun a new era. Claims of earlier ones may be
+  // lost.
+  void ObserveEra(StoreEra era);
   // Set to false while the local copies of the store's tables may be out of
   // date. No failover is started then.
   void SetTablesCurrent(bool current) { m_tables_current = current; }
@@ -111,6 +117,7 @@
     // promotions under older ones.
     bool settled = false;
     GroupPosition acknowledged;  // as known to the hosts that have held it
+    StoreEra era = 0;            // in which it was made
     RowVersion version;
   };
   struct Job {
@@ -202,11 +209,16 @@
   bool EnsureClaimFresh(const GroupId& group, Job* job);
   void OnClaimRenewed(const GroupId& group, Job* job, const RowWritten& event);
 
+  // True if claims that were made after this one may be lost.
+  bool MayHaveSuccessors(const Claim& claim) const;
+  // Leaves the claim to another host and looks at it again later.
+  void PostponeClaim(Job* job);
   void Abandon(const GroupId& group, Job* job, const std::string& reason);
   void PauseNewReplicas(const GroupId& group, Job* job);
   // Asks replicas that have become listed whether they are paused. One that
   // disappeared while it was paused was not resumed by the host that paused it.
   void AskReturnedReplicas(const relay::DirectoryPtr& old);
+  void AskReplica(const relay::Endpoint& endpoint);
   // Asks the other endpoints whose rows name them the primary. Needs no claim,
   // since nothing is changed.
   void StartAskingOthers(Job* job, const relay::Group& row);
@@ -254,6 +266,11 @@
   std::uint64_t m_next_admin_id = 1;
   bool m_reading_claims = false;
   bool m_tables_current = false;
+  // The store's era, since when this host knows it, and whether this host has
+  // seen an earlier one.
+  StoreEra m_era = 0;
+  Instant m_era_since{};
+  bool m_seen_earlier_era = false;
   std::vector<std::pair<GroupId, EndpointId>> m_promotions;
   std::vector<std::pair<GroupId, EndpointId>> m_confirmed_primaries;
   std::vector<peer::Message> m_peer_messages;
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -153,17 +153,19 @@
 }
 
 // Runs a random series of faults: killed endpoints, leaving primaries, hosts
-// that are frozen or cut off from the store, and lost answers.
-void RunRandomFaults(std::uint64_t seed) {
+// that are frozen or cut off from the store, and lost answers. `restorations`:
+// the store also comes back from older copies of itself.
+void RunRandomFaults(std::uint64_t seed, bool restorations) {
   FleetSimulation simulation(4, 4, seed);
   SeededRandom fault_random(seed * 977);
   simulation.Run(seconds(9));
+  simulation.CopyStore();
   simulation.lose_one_answer_in = fault_random.UniformBelow(3) == 0 ? 6 : 0;
   for (int step = 0; step < 14; ++step) {
     const int host = static_cast<int>(fault_random.UniformBelow(4));
     const auto id = "e" + std::to_string(fault_random.UniformBelow(4));
     auto& endpoint = simulation.Endpoints()[id];
-    const auto fault = fault_random.UniformBelow(7);
+    const auto fault = fault_random.UniformBelow(restorations ? 10 : 7);
     switch (fault) {
       case 0: {
         // At most one endpoint is down at a time, and it never loses its log.
@@ -198,6 +200,14 @@
         simulation.cut_off_from_store.clear();
         simulation.Restart(host);
         break;
+      case 7:
+        simulation.CopyStore();
+        break;
+      case 8:
+      case 9:
+        simulation.RestoreStore();
+        simulation.WriteEndpointRows();
+        break;
       default:
         simulation.primary_partly_unreachable =
             !simulation.primary_partly_unreachable;
@@ -227,7 +237,15 @@
 }
 
 TEST(Failover, RandomFaultsLoseNoCommitsAndLeaveNoReplicaPaused) {
-  for (std::uint64_t seed = 1; seed <= 300; ++seed) RunRandomFaults(seed);
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    RunRandomFaults(seed, false);
+  }
+}
+
+TEST(Failover, RandomRestorationsLoseNoCommitsAndLeaveNoReplicaPaused) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    RunRandomFaults(seed, true);
+  }
 }
 
 // A row of an endpoint that does not run named itself the primary of a group.
--- a/Source/UnitTests/Fleet/store_restored_test.cc
+++ b/Source/UnitTests/Fleet/store_restored_test.cc
@@ -195,7 +195,7 @@
 
 // The claim and its token were lost, and the next holder was given the same
 // token.
-TEST(RestoredStore, DISABLED_NoTokenIsUsedByTwoHolders) {
+TEST(RestoredStore, NoTokenIsUsedByTwoHolders) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     FleetSimulation simulation(5, 3, seed);
     simulation.Run(seconds(20));
