Keep newer reports of endpoints when a restored store brings back older ones

Cause: between the store's return and an endpoint's next report, its row may be of before it began to leave, lost its role or ended; by the store's version it counts as new. Rows that are gone take the zones with them that the operator took out of service. Change: across eras, the reports of an endpoint are ordered by the start of its process and by their number. A report that is older than what is known, also of an endpoint that has gone, has no effect until the row is written again; the same row in a new era changes nothing; zones out of service stay so for 30 s or until the operator writes again. Within an era the store's order holds as before. Result: EndpointThatLeavesGoesOnLeaving and EndpointThatHasGoneDoesNotComeBack failed before and pass, as does ZoneStaysOutOfServiceUntilTheOperatorWritesAgain. Conclusion: what came from outside has an order of its own, which a copy can't break.

--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -14,15 +14,33 @@
 // seconds after the store is back. A row that is missing for longer is treated
 // as removed.
 constexpr Milliseconds kMissingRowGracePeriod{2200};
+// Time in which the operator writes again what a restored store has lost.
+constexpr Milliseconds kOperatorRewriteTime{30'000};
+// Longer than the age of a copy from which the store is restored.
+constexpr Milliseconds kDepartedMemory{120'000};
 
 }  // namespace
 
-void DirectoryBuilder::UpdateOperator(const std::map<std::string, Row>& rows) {
-  m_zones_out_of_service.clear();
+void DirectoryBuilder::UpdateZones(const std::map<std::string, Row>& rows) {
+  std::set<ZoneId> named;
+  StoreEra era = 0;
   for (const auto& [key, row] : rows) {
-    if (const auto zone = m_codec->ZoneOutOfService(key))
-      m_zones_out_of_service.insert(*zone);
+    era = std::max(era, row.version.era);
+    if (const auto zone = m_codec->ZoneOutOfService(key)) named.insert(*zone);
+  }
+  if (m_operator_era > 0 && era > m_operator_era) {
+    for (const auto& zone : m_zones_out_of_service) {
+      m_zones_kept.emplace(zone, m_clock->Now() + kOperatorRewriteTime);
+    }
   }
+  m_operator_era = std::max(m_operator_era, era);
+  for (const auto& zone : named) m_zones_kept.erase(zone);
+  for (const auto& [zone, until] : m_zones_kept) named.insert(zone);
+  m_zones_out_of_service = std::move(named);
+}
+
+void DirectoryBuilder::UpdateOperator(const std::map<std::string, Row>& rows) {
+  UpdateZones(rows);
   const auto it = rows.find(m_codec->ConfigKey());
   if (it == rows.end() || it->second.version <= m_config_version) return;
   auto decoded = m_codec->DecodeConfig(it->second.value);
@@ -34,7 +52,13 @@
   }
   m_config_version = it->second.version;
   // The version of the configuration never decreases.
-  if (m_config && decoded.value().version < m_config->version) return;
+  if (m_config && decoded.value().version < m_config->version) {
+    log::Event(log::Channel::kConfig, log::Level::kInfo, "config_outdated",
+               {{"version", std::to_string(decoded.value().version)},
+                {"in_force", std::to_string(m_config->version)},
+                {"row_version", TextOf(m_config_version)}});
+    return;
+  }
   m_config = std::move(decoded.value());
   log::Event(log::Channel::kConfig, log::Level::kInfo, "config_adopted",
              {{"version", std::to_string(m_config->version)},
@@ -43,6 +67,71 @@
               {"keys", std::to_string(m_config->keys.size())}});
 }
 
+bool DirectoryBuilder::IsOutdated(const Row& row,
+                                  const relay::Endpoint& reported,
+                                  Entry* known) {
+  const auto order = [](const relay::Endpoint& endpoint) {
+    return std::make_pair(endpoint.process_start_ms, endpoint.report_number);
+  };
+  if (row.version.era <= known->version.era) return false;
+  if (order(reported) >= order(known->endpoint)) return false;
+  const bool written_again = known->outdated_version.era == row.version.era &&
+                             known->outdated_version != row.version;
+  if (written_again) return false;
+  known->outdated_version = row.version;
+  return true;
+}
+
+void DirectoryBuilder::UpdateEndpoint(const EndpointId& id, const Row& row) {
+  auto decoded = m_codec->DecodeEndpoint(id, row.value);
+  if (!decoded) {
+    if (std::exchange(m_unreadable_versions[id], row.version) != row.version) {
+      log::Event(log::Channel::kEndpoint, log::Level::kWarn,
+                 "endpoint_unreadable",
+                 {{"endpoint", id}, {"detail", decoded.error().detail}});
+    }
+    // An unreadable row does not describe a usable endpoint.
+    m_entries.erase(id);
+    return;
+  }
+  const auto departed = m_departed.find(id);
+  if (departed != m_departed.end()) {
+    auto& known = departed->second;
+    const bool removed_row =
+        row.version.era > known.version.era && row.value == known.value;
+    if (removed_row || IsOutdated(row, decoded.value(), &known)) return;
+    m_departed.erase(departed);
+  }
+  auto& entry = m_entries[id];
+  if (IsOutdated(row, decoded.value(), &entry)) {
+    entry.missing_since.reset();
+    log::Event(log::Channel::kEndpoint, log::Level::kInfo, "endpoint_outdated",
+               {{"endpoint", id},
+                {"version", TextOf(row.version)},
+                {"known", TextOf(entry.version)}});
+    return;
+  }
+  const bool restarted =
+      entry.endpoint.process_start_ms != decoded.value().process_start_ms;
+  const bool is_primary = decoded.value().primary;
+  if (!is_primary) {
+    entry.primary_since = {};
+  } else if (entry.primary_since == RowVersion{} || restarted) {
+    entry.primary_since = row.version;
+  }
+  entry.endpoint = std::move(decoded.value());
+  entry.value = row.value;
+  entry.version = row.version;
+  entry.missing_since.reset();
+  entry.not_primary = false;
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo, "endpoint_reported",
+             {{"endpoint", id},
+              {"group", entry.endpoint.group},
+              {"primary", is_primary ? "yes" : "no"},
+              {"leaving", entry.endpoint.leaving ? "yes" : "no"},
+              {"version", TextOf(row.version)}});
+}
+
 void DirectoryBuilder::UpdateEndpoints(const std::map<std::string, Row>& rows) {
   for (auto& [id, entry] : m_entries) {
     if (rows.count(id) > 0 || entry.missing_since) continue;
@@ -52,42 +141,23 @@
   }
   for (const auto& [id, row] : rows) {
     const auto existing = m_entries.find(id);
-    if (existing != m_entries.end() &&
-        existing->second.version == row.version) {
-      existing->second.missing_since.reset();
+    if (existing == m_entries.end()) {
+      UpdateEndpoint(id, row);
       continue;
     }
-    auto decoded = m_codec->DecodeEndpoint(id, row.value);
-    if (!decoded) {
-      if (std::exchange(m_unreadable_versions[id], row.version) !=
-          row.version) {
-        log::Event(log::Channel::kEndpoint, log::Level::kWarn,
-                   "endpoint_unreadable",
-                   {{"endpoint", id}, {"detail", decoded.error().detail}});
-      }
-      // An unreadable row does not describe a usable endpoint.
-      m_entries.erase(id);
+    auto& entry = existing->second;
+    // A restored store has the same rows in a new era.
+    const bool same_row =
+        row.version.era > entry.version.era && row.value == entry.value;
+    if (entry.version != row.version && !same_row) {
+      UpdateEndpoint(id, row);
       continue;
     }
-    auto& entry = m_entries[id];
-    const bool restarted =
-        entry.endpoint.process_start_ms != decoded.value().process_start_ms;
-    const bool is_primary = decoded.value().primary;
-    if (!is_primary) {
-      entry.primary_since = {};
-    } else if (entry.primary_since == RowVersion{} || restarted) {
-      entry.primary_since = row.version;
+    if (entry.confirmed_version == entry.version) {
+      entry.confirmed_version = row.version;
     }
-    entry.endpoint = std::move(decoded.value());
     entry.version = row.version;
     entry.missing_since.reset();
-    entry.not_primary = false;
-    log::Event(log::Channel::kEndpoint, log::Level::kInfo, "endpoint_reported",
-               {{"endpoint", id},
-                {"group", entry.endpoint.group},
-                {"primary", is_primary ? "yes" : "no"},
-                {"leaving", entry.endpoint.leaving ? "yes" : "no"},
-                {"version", TextOf(row.version)}});
   }
   // An address may have been reused by a newer endpoint. The older entry is
   // removed if its row is missing.
@@ -96,19 +166,36 @@
     auto& version = newest_by_address[entry.endpoint.address];
     version = std::max(version, entry.version);
   }
-  std::erase_if(m_entries, [&](const auto& item) {
-    return item.second.missing_since &&
-           newest_by_address[item.second.endpoint.address] !=
-               item.second.version;
+  Remove([&](const Entry& entry) {
+    return entry.missing_since &&
+           newest_by_address[entry.endpoint.address] != entry.version;
   });
 }
 
+template <typename Condition>
+bool DirectoryBuilder::Remove(Condition condition) {
+  return std::erase_if(m_entries, [&](auto& item) {
+           if (!condition(item.second)) return false;
+           m_departed[item.first] = std::move(item.second);
+           return true;
+         }) > 0;
+}
+
 bool DirectoryBuilder::ExpireMissing() {
   const auto now = m_clock->Now();
-  return std::erase_if(m_entries, [&](const auto& item) {
-           return item.second.missing_since &&
-                  now - *item.second.missing_since >= kMissingRowGracePeriod;
-         }) > 0;
+  std::erase_if(m_departed, [&](const auto& item) {
+    return now - *item.second.missing_since >= kDepartedMemory;
+  });
+  const bool zones_changed = std::erase_if(m_zones_kept, [&](const auto& item) {
+                               if (now < item.second) return false;
+                               m_zones_out_of_service.erase(item.first);
+                               return true;
+                             }) > 0;
+  const bool removed = Remove([&](const Entry& entry) {
+    return entry.missing_since &&
+           now - *entry.missing_since >= kMissingRowGracePeriod;
+  });
+  return zones_changed || removed;
 }
 
 void DirectoryBuilder::MarkNotPrimary(const EndpointId& endpoint) {
@@ -158,7 +245,7 @@
   for (const auto& [id, entry] : m_entries) {
     if (entry.endpoint.group != group || PrimarySince(entry) == RowVersion{}) {
       continue;
-    }
+    };
     if (entry.not_primary) continue;
     if (best == nullptr || PrimarySince(entry) > PrimarySince(*best)) {
       best = &entry;
@@ -188,7 +275,7 @@
     const bool says_primary = entry.primary_since != RowVersion{};
     if (says_primary && PrimarySince(entry) == RowVersion{}) {
       continue;
-    }
+    };
     auto& copy = out->endpoints[id];
     copy = entry.endpoint;
     copy.leaving |= m_zones_out_of_service.count(copy.zone) > 0;
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -1,6 +1,11 @@
 // Builds the directory that traffic decisions use. Its sources are the
 // operator's configuration and the rows that the endpoints write about
 // themselves.
+//
+// A store that comes back from an older copy of itself brings back rows that
+// have been replaced or removed since. What is known stays in force until the
+// operator or the endpoint has written again: the configuration by its own
+// version, an endpoint by the number of its report.
 #pragma once
 
 #include <map>
@@ -59,7 +64,7 @@
   // role first.
   void ConfirmPrimary(const GroupId& group, const EndpointId& endpoint);
   // Removes entries whose rows have been missing for longer than the grace
-  // period. Returns true if any entry was removed.
+  // period. Returns true if anything changed.
   bool ExpireMissing();
 
   bool Ready() const { return m_config.has_value(); }
@@ -71,7 +76,11 @@
  private:
   struct Entry {
     relay::Endpoint endpoint;
+    std::string value;  // of its row
     RowVersion version;
+    // Version of an older row that a restored store has brought back. The entry
+    // stays until the row is written again.
+    RowVersion outdated_version;
     // Version of the row in which the endpoint began to report itself as
     // primary; the default value if it does not.
     RowVersion primary_since;
@@ -87,13 +96,29 @@
   // does not.
   static RowVersion PrimarySince(const Entry& entry);
   EndpointId ChoosePrimary(const GroupId& group) const;
+  // True if a restored store has brought back a row that is older than what is
+  // known of the endpoint.
+  static bool IsOutdated(const Row& row, const relay::Endpoint& reported,
+                         Entry* known);
+  // Applies the row of an endpoint that is not known with this version.
+  void UpdateEndpoint(const EndpointId& id, const Row& row);
+  // Moves the entries that fulfil `condition` to m_departed.
+  template <typename Condition>
+  bool Remove(Condition condition);
+  void UpdateZones(const std::map<std::string, Row>& rows);
 
   const RecordCodec* const m_codec;
   const Clock* const m_clock;
   std::optional<FleetConfig> m_config;
   RowVersion m_config_version;
   std::set<ZoneId> m_zones_out_of_service;
+  // Zones whose rows were gone when a new era of the store began, and until
+  // when they stay out of service.
+  std::map<ZoneId, Instant> m_zones_kept;
+  StoreEra m_operator_era = 0;
   std::map<EndpointId, Entry> m_entries;
+  // Entries that were removed, without those whose endpoint is known again.
+  std::map<EndpointId, Entry> m_departed;
   std::map<EndpointId, RowVersion> m_unreadable_versions;
 };
 
--- a/Source/UnitTests/Fleet/store_restored_test.cc
+++ b/Source/UnitTests/Fleet/store_restored_test.cc
@@ -134,7 +134,7 @@
 }
 
 // A row of before the endpoint began to leave came back as a newer one.
-TEST(RestoredStore, DISABLED_EndpointThatLeavesGoesOnLeaving) {
+TEST(RestoredStore, EndpointThatLeavesGoesOnLeaving) {
   FleetSimulation simulation(6, 3, 7);
   simulation.Run(seconds(20));
   simulation.CopyStore();
@@ -176,7 +176,7 @@
   }
 }
 
-TEST(RestoredStore, DISABLED_EndpointThatHasGoneDoesNotComeBack) {
+TEST(RestoredStore, EndpointThatHasGoneDoesNotComeBack) {
   FleetSimulation simulation(6, 4, 8);
   simulation.Run(seconds(20));
   simulation.CopyStore();
@@ -193,6 +193,22 @@
   }
 }
 
+TEST(RestoredStore, ZoneStaysOutOfServiceUntilTheOperatorWritesAgain) {
+  FleetSimulation simulation(4, 3, 9);
+  simulation.Run(seconds(20));
+  simulation.CopyStore();
+  simulation.TakeZoneOutOfService("ze1");
+  simulation.Run(seconds(1));
+  Restore(&simulation);
+  for (int i = 0; i < 20; ++i) {
+    simulation.Run(Milliseconds(100));
+    EXPECT_TRUE(simulation.DirectoryOf(0)->endpoints.at("e1").leaving);
+  }
+  simulation.TakeZoneOutOfService("ze1");
+  simulation.Run(seconds(40));
+  EXPECT_TRUE(simulation.DirectoryOf(0)->endpoints.at("e1").leaving);
+}
+
 // The claim and its token were lost, and the next holder was given the same
 // token.
 TEST(RestoredStore, NoTokenIsUsedByTwoHolders) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -95,6 +95,10 @@
          std::to_string(version) + std::string(padding, ' '));
 }
 
+void FleetSimulation::TakeZoneOutOfService(const ZoneId& zone) {
+  PutRow("config", "out/" + zone, "");
+}
+
 void FleetSimulation::WriteEndpointRow(const EndpointId& id) {
   auto& endpoint = m_endpoints.at(id);
   if (!endpoint.alive || !endpoint.listed) {
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -49,6 +49,7 @@
   void Run(Milliseconds duration);
   // `padding` bytes make the configuration larger.
   void SetConfig(std::uint64_t version, std::size_t padding = 0);
+  void TakeZoneOutOfService(const ZoneId& zone);
   void WriteEndpointRow(const EndpointId& id);
   // The endpoint's process starts again with its log; a pause ends.
   void RestartEndpoint(const EndpointId& id);
