Pause before a feed is requested again that stays expired

Cause: after 410 a table is read and the feed requested at once. If the read does not help, whatever the reason, this repeats as fast as the store answers. Conclusion: the bound holds for causes that are not known yet.

--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -192,6 +192,13 @@
   if (event.status == StoreStatus::kExpired) {
     if (replaced) return false;
     m_read_needed = true;
+    // The read that follows may not help; it is not repeated without a pause.
+    if (m_expirations > 0) {
+      m_next_call_at =
+          m_clock->Now() +
+          kInitialRetryDelay * (1 << std::min(m_expirations, kMaxDoublings));
+    }
+    ++m_expirations;
     m_counters->Add("table_history_expired");
     log::Event(log::Channel::kPlatform, log::Level::kInfo, "history_expired",
                {{"table", m_table},
@@ -203,6 +210,7 @@
     return !replaced && RecordFailure(event.status);
   }
   RecordSuccess(event.now);
+  m_expirations = 0;
   m_store_version = std::max(m_store_version, event.version);
   bool changed = false;
   for (const auto& row : event.rows) changed |= Apply(row);
--- a/Source/Fleet/table_follower.h
+++ b/Source/Fleet/table_follower.h
@@ -124,6 +124,8 @@
   RowVersion m_content_version;
   StoreTime m_complete_at{0};
   int m_failures = 0;
+  // Calls since the last successful one that found the history discarded.
+  int m_expirations = 0;
   Instant m_next_call_at{};
   Instant m_last_call_at{};
   Instant m_last_answer_at{};
--- a/Source/UnitTests/Fleet/store_restored_test.cc
+++ b/Source/UnitTests/Fleet/store_restored_test.cc
@@ -93,6 +93,18 @@
   EXPECT_LT(simulation.store_calls, 6 * 20);
 }
 
+TEST(RestoredStore, FeedThatStaysExpiredIsNotRequestedWithoutPause) {
+  FleetSimulation simulation(6, 3, 6);
+  simulation.Run(seconds(20));
+  simulation.history_discarded = true;
+  simulation.store_calls = 0;
+  simulation.Run(seconds(10));
+  EXPECT_LT(simulation.store_calls, 6 * 10 * 4);
+  simulation.SetConfig(9);
+  simulation.Run(Milliseconds(2'900));
+  EXPECT_TRUE(HostsWithOtherVersion(simulation, 9).empty());
+}
+
 // The versions that a follower had seen were given out again before its next
 // call. Its feed went on without an error and left out what lies below.
 TEST(RestoredStore, ChangesBelowAVersionGivenOutAgainAreNotMissed) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -374,7 +374,9 @@
       Deliver(poll.host, event);
       continue;
     }
-    if (poll.follow.after.number > m_store.version.number && !poll.waiting) {
+    const bool unknown_version =
+        poll.follow.after.number > m_store.version.number && !poll.waiting;
+    if (history_discarded || unknown_version) {
       event.status = StoreStatus::kExpired;
       Deliver(poll.host, event);
       continue;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -82,6 +82,7 @@
   std::set<int> unanswered_by_store;
   std::set<int> frozen;  // hosts that handle no events
   bool store_down = false;
+  bool history_discarded = false;  // the store answers no feed
   // One in this many writes and promotions is executed but not answered; 0:
   // none.
   std::uint64_t lose_one_answer_in = 0;
