--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -115,8 +115,8 @@
       entry.endpoint.process_start_ms != decoded.value().process_start_ms;
   const bool is_primary = decoded.value().primary;
   if (!is_primary) {
-    entry.primary_since = {};
-  } else if (entry.primary_since == RowVersion{} || restarted) {
+    entry.primary_since = RowVersion();
+  } else if (entry.primary_since.IsNone() || restarted) {
     entry.primary_since = row.version;
   }
   entry.endpoint = std::move(decoded.value());
@@ -205,7 +205,7 @@
   // What it disproved while it was the primary may hold now.
   for (auto& [id, entry] : m_entries) {
     if (entry.endpoint.group != it->second.endpoint.group) continue;
-    entry.disproved_since = {};
+    entry.disproved_since = RowVersion();
   }
 }
 
@@ -224,7 +224,7 @@
     entry.not_primary = id != endpoint;
     if (id == endpoint) {
       entry.confirmed_version = entry.version;
-      entry.disproved_since = {};
+      entry.disproved_since = RowVersion();
     } else {
       entry.disproved_since = entry.primary_since;
     }
@@ -232,20 +232,18 @@
 }
 
 RowVersion DirectoryBuilder::PrimarySince(const Entry& entry) {
-  if (entry.primary_since != RowVersion{}) {
-    return entry.primary_since == entry.disproved_since ? RowVersion{}
-                                                        : entry.primary_since;
+  if (!entry.primary_since.IsNone()) {
+    const bool disproved = entry.primary_since == entry.disproved_since;
+    return disproved ? RowVersion() : entry.primary_since;
   }
-  return entry.confirmed_version == entry.version ? entry.version
-                                                  : RowVersion{};
+  const bool confirmed = entry.confirmed_version == entry.version;
+  return confirmed ? entry.version : RowVersion();
 }
 
 EndpointId DirectoryBuilder::ChoosePrimary(const GroupId& group) const {
   const Entry* best = nullptr;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.endpoint.group != group || PrimarySince(entry) == RowVersion{}) {
-      continue;
-    };
+    if (entry.endpoint.group != group || PrimarySince(entry).IsNone()) continue;
     if (entry.not_primary) continue;
     if (best == nullptr || PrimarySince(entry) > PrimarySince(*best)) {
       best = &entry;
@@ -272,10 +270,8 @@
     copy.primary = ChoosePrimary(group.name);
   }
   for (const auto& [id, entry] : m_entries) {
-    const bool says_primary = entry.primary_since != RowVersion{};
-    if (says_primary && PrimarySince(entry) == RowVersion{}) {
-      continue;
-    };
+    const bool says_primary = !entry.primary_since.IsNone();
+    if (says_primary && PrimarySince(entry).IsNone()) continue;
     auto& copy = out->endpoints[id];
     copy = entry.endpoint;
     copy.leaving |= m_zones_out_of_service.count(copy.zone) > 0;
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -91,7 +91,7 @@
       continue;
     }
     auto& claim = claims[group];
-    if (claim.version == RowVersion{}) claim.version.era = event.version.era;
+    if (claim.version.IsNone()) claim.version.era = event.version.era;
     OnClaimRead(group, &job, claim, event.now);
   }
 }
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -25,6 +25,7 @@
   StoreEra era = 0;
   std::uint64_t number = 0;  // from a counter shared by all tables
   auto operator<=>(const RowVersion&) const = default;
+  bool IsNone() const { return era == 0 && number == 0; }
 };
 // As ERA.NUMBER, for log lines.
 inline std::string TextOf(const RowVersion& version) {
--- a/Source/Fleet/table_follower.cc
+++ b/Source/Fleet/table_follower.cc
@@ -259,7 +259,7 @@
 
 bool TableFollower::Adopt(const peer::TableCopy& copy) {
   const RowVersion version{copy.era, copy.version};
-  if (version == RowVersion{}) return false;
+  if (version.IsNone()) return false;
   if (m_loaded && version <= m_content_version) return false;
   const bool whole = copy.base == 0;
   const RowVersion base{copy.era, copy.base};
