Give the configuration in force to hosts that a restored store has only an older one for

A host that started between the return of a restored store and the operator's next write served what the copy had: with a key that had been withdrawn, without a route that had been added (CONFIG). Cause: hosts offered each other tables by the store's order only, and in the new era the older row is the newest. Change: hosts tell each other the version of the configuration in force, with the digests. One whose configuration is newer than the store's row sends that row, of the older era, to those that have an older one; a configuration is ordered by its own version. Conclusion: holds while one host that has seen the configuration lives.

--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -43,28 +43,38 @@
   UpdateZones(rows);
   const auto it = rows.find(m_codec->ConfigKey());
   if (it == rows.end() || it->second.version <= m_config_version) return;
-  auto decoded = m_codec->DecodeConfig(it->second.value);
+  m_config_version = it->second.version;
+  m_config_outdated =
+      !AdoptConfig(it->second) && it->second.value != m_config_row.value;
+}
+
+bool DirectoryBuilder::AdoptConfig(const Row& row) {
+  if (row.key != m_codec->ConfigKey()) return false;
+  auto decoded = m_codec->DecodeConfig(row.value);
   if (!decoded) {
     log::Event(log::Channel::kConfig, log::Level::kError, "config_unreadable",
-               {{"row_version", TextOf(it->second.version)},
+               {{"row_version", TextOf(row.version)},
                 {"detail", decoded.error().detail}});
-    return;
+    return false;
   }
-  m_config_version = it->second.version;
   // The version of the configuration never decreases.
-  if (m_config && decoded.value().version < m_config->version) {
-    log::Event(log::Channel::kConfig, log::Level::kInfo, "config_outdated",
-               {{"version", std::to_string(decoded.value().version)},
-                {"in_force", std::to_string(m_config->version)},
-                {"row_version", TextOf(m_config_version)}});
-    return;
-  }
+  const bool outdated = m_config && decoded.value().version < m_config->version;
+  log::Event(log::Channel::kConfig, log::Level::kInfo,
+             outdated ? "config_outdated" : "config_adopted",
+             {{"version", std::to_string(decoded.value().version)},
+              {"in_force", std::to_string(ConfigVersion())},
+              {"row_version", TextOf(row.version)},
+              {"routes", std::to_string(decoded.value().routes.size())},
+              {"keys", std::to_string(decoded.value().keys.size())}});
+  if (outdated) return false;
   m_config = std::move(decoded.value());
-  log::Event(log::Channel::kConfig, log::Level::kInfo, "config_adopted",
-             {{"version", std::to_string(m_config->version)},
-              {"row_version", TextOf(m_config_version)},
-              {"routes", std::to_string(m_config->routes.size())},
-              {"keys", std::to_string(m_config->keys.size())}});
+  m_config_row = row;
+  return true;
+}
+
+std::optional<Row> DirectoryBuilder::ConfigMissingFromStore() const {
+  if (!m_config || !m_config_outdated) return std::nullopt;
+  return m_config_row;
 }
 
 bool DirectoryBuilder::IsOutdated(const Row& row,
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -52,6 +52,14 @@
       : m_codec(codec), m_clock(clock) {}
 
   void UpdateOperator(const std::map<std::string, Row>& rows);
+  // Takes over the configuration from a row that another host has sent, if it
+  // is newer than the one in force. Returns true if it was taken over.
+  bool AdoptConfig(const Row& row);
+  // The row of the configuration in force if the store has an older one.
+  std::optional<Row> ConfigMissingFromStore() const;
+  std::uint64_t ConfigVersion() const {
+    return m_config ? m_config->version : 0;
+  }
   void UpdateEndpoints(const std::map<std::string, Row>& rows);
   // Records that `endpoint` refused to act as primary. It is not chosen as
   // primary until it writes a new version of its row.
@@ -110,7 +118,12 @@
   const RecordCodec* const m_codec;
   const Clock* const m_clock;
   std::optional<FleetConfig> m_config;
+  // The row that the configuration in force comes from.
+  Row m_config_row;
+  // Version of the last row of the configuration read from the store, and
+  // whether that row was older than the one in force.
   RowVersion m_config_version;
+  bool m_config_outdated = false;
   std::set<ZoneId> m_zones_out_of_service;
   // Zones whose rows were gone when a new era of the store began, and until
   // when they stay out of service.
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -133,6 +133,7 @@
   if (const auto* digest = std::get_if<peer::TableDigest>(&envelope.message)) {
     for (const auto& item : digest->tables) ObserveEra(item.era);
     m_tables.Handle(envelope, *digest);
+    OfferConfig(envelope.from_address, digest->config_version);
     return OnTableContent(nullptr);
   }
   if (const auto* request =
@@ -151,6 +152,18 @@
   }
   if (const auto* copy = std::get_if<peer::TableCopy>(&envelope.message)) {
     ObserveEra(copy->era);
+    // A copy of an older era may have a newer configuration than the store.
+    const bool outdated =
+        copy->era < m_tables.OperatorTable().ContentVersion().era;
+    if (outdated && copy->table == m_tables.OperatorTable().Table()) {
+      bool adopted = false;
+      for (const auto& row : copy->rows) {
+        adopted |= m_builder.AdoptConfig(
+            {row.key, row.value, {copy->era, row.version}, row.deleted});
+      }
+      if (adopted) Publish();
+      return;
+    }
     return OnTableContent(m_tables.Handle(*copy));
   }
   if (const auto* request =
@@ -162,6 +175,21 @@
   }
 }
 
+void FleetCore::OfferConfig(const std::string& address,
+                            std::uint64_t known_version) {
+  const auto row = m_builder.ConfigMissingFromStore();
+  if (!row || known_version >= m_builder.ConfigVersion()) return;
+  m_counters->Add("configs_offered");
+  peer::TableCopy copy;
+  copy.table = m_tables.OperatorTable().Table();
+  copy.era = row->version.era;
+  copy.version = row->version.number;
+  // Marks the row as one of several.
+  copy.base = copy.version - 1;
+  copy.rows.push_back({row->key, row->value, row->version.number, false});
+  m_actions.push_back(SendPeer{address, std::move(copy)});
+}
+
 void FleetCore::OnTableContent(const TableFollower* changed) {
   // An answer may also show that unchanged seats are up to date.
   const auto& seat_rows = m_tables.SeatRows();
@@ -182,6 +210,7 @@
 void FleetCore::Publish() {
   if (!m_builder.Ready()) return;
   m_directory = m_builder.Build();
+  m_tables.SetConfigVersion(m_builder.ConfigVersion());
   for (const auto& [group, row] : m_directory->groups) {
     if (m_host_ranks.count(group) > 0) continue;
     m_host_ranks[group] = m_seats.HostRank(group);
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -45,6 +45,9 @@
   void On(const relay::SendShare& event);
   void On(const TimerFired& event);
 
+  // Sends the configuration in force to a host that has an older one and can't
+  // get it from the store.
+  void OfferConfig(const std::string& address, std::uint64_t known_version);
   // An answer of the store about one of the replicated tables.
   template <typename Answer>
   void OnTableAnswer(const Answer& answer);
--- a/Source/Fleet/table_replication.cc
+++ b/Source/Fleet/table_replication.cc
@@ -190,6 +190,7 @@
     if (follower == &m_seat_rows && !with_seats) continue;
     digest.tables.push_back(follower->Digest());
   }
+  digest.config_version = m_config_version;
   m_actions.push_back(SendPeer{address, std::move(digest)});
 }
 
--- a/Source/Fleet/table_replication.h
+++ b/Source/Fleet/table_replication.h
@@ -43,6 +43,8 @@
   const TableFollower& OperatorTable() const { return m_operator_table; }
   const TableFollower& EndpointTable() const { return m_endpoint_table; }
   const TableFollower& SeatRows() const { return m_seat_rows; }
+  // Sets the version of the configuration in force, which other hosts are told.
+  void SetConfigVersion(std::uint64_t version) { m_config_version = version; }
   // False while the copies may be out of date.
   bool Current() const;
 
@@ -120,6 +122,7 @@
   TableFollower m_operator_table;
   TableFollower m_endpoint_table;
   TableFollower m_seat_rows;
+  std::uint64_t m_config_version = 0;
   const Instant m_started_at;
   // No host had a seat when this host first read the table.
   bool m_first_start = true;
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -214,6 +214,7 @@
   if (message.query) (*out)["query"] = true;
   if (message.subscribe) (*out)["subscribe"] = true;
   if (message.answer) (*out)["answer"] = true;
+  (*out)["config"] = JsonUint(message.config_version);
 }
 void DecodeBody(const Json::Value& json, TableDigest* message) {
   for (const auto& item : json["tables"]) {
@@ -226,6 +227,7 @@
   message->query = BoolOr(json, "query");
   message->subscribe = BoolOr(json, "subscribe");
   message->answer = BoolOr(json, "answer");
+  message->config_version = UintOr(json, "config");
 }
 void EncodeBody(const StepDownRequest& message, Json::Value* out) {
   (*out)["group"] = message.group;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -123,6 +123,8 @@
   bool subscribe = false;
   // This is the answer to a query.
   bool answer = false;
+  // Version of the configuration that is in force at the sender.
+  config::ConfigVersion config_version = 0;
 };
 // Rows of a table, sent to a host whose copy is older, since that host may be
 // unable to reach the platform.
--- a/Source/UnitTests/Fleet/store_restored_test.cc
+++ b/Source/UnitTests/Fleet/store_restored_test.cc
@@ -79,6 +79,31 @@
   }
 }
 
+// A host that started before the operator's next write found only the older
+// configuration on the store, with a key that had been withdrawn.
+TEST(RestoredStore, StartedHostGetsTheConfigurationInForce) {
+  for (const int hosts : {6, 60}) {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      FleetSimulation simulation(hosts, 3, seed);
+      simulation.Run(seconds(20));
+      simulation.SetConfig(8);
+      simulation.Run(seconds(1));
+      simulation.CopyStore();
+      simulation.SetConfig(9);
+      simulation.Run(seconds(2));
+      Restore(&simulation);
+      for (int host = 0; host < hosts; host += 2) simulation.Restart(host);
+      simulation.Run(Milliseconds(2'900));
+      EXPECT_TRUE(HostsWithOtherVersion(simulation, 9).empty())
+          << hosts << " hosts, seed " << seed;
+      simulation.SetConfig(12);
+      simulation.Run(Milliseconds(2'900));
+      EXPECT_TRUE(HostsWithOtherVersion(simulation, 12).empty())
+          << hosts << " hosts, seed " << seed;
+    }
+  }
+}
+
 // A table whose change history had expired was read, the result was thrown away
 // as older, and the follower went on from where it had failed, without a pause.
 TEST(RestoredStore, FollowersDoNotCallItWithoutPause) {
