Pass on no commit of a primary that other hosts may have replaced

Cause: three ways in which a host went on passing on acknowledgements. Inside the zone it went on for 4 s if a listed replica of the group was there, since no promotion outside could succeed; but hosts outside leave that replica out some seconds later. Change: isolated hosts stop writing at once, with a replica in the zone or not. After an isolation primaries in the zone, and after 0.6 s of silence any primary, get no commits for 1.5 s, by which time a promotion has taken effect; unless the directory names a new one. Commits in progress are answered as in doubt, others refused at once. ListedReplicaInTheZoneAllowsWritesForAWhile demanded what loses commits; it is replaced by the opposite, ListedReplicaInTheZoneDoesNotAllowWrites. Left: what a replica in the zone acknowledges alone in the first 0.2 s of a cut.

--- a/Source/Fleet/replica_history.cc
+++ b/Source/Fleet/replica_history.cc
@@ -18,8 +18,8 @@
 // in which the others receive nothing.
 constexpr Milliseconds kDepartedReplicaMemory{30'000};
 
-// Longer than hosts in a zone that is cut off go on writing on the strength of
-// a listed replica there (kIsolatedWriteLimit), with time for a promotion.
+// Longer than hosts in a zone that is cut off go on writing, with time for a
+// promotion.
 constexpr Milliseconds kNeverAnsweredTimeout{6'000};
 
 template <typename Replicas>
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -175,7 +175,9 @@
   if (old == nullptr) return;
   const auto before = old->groups.find(group.name);
   if (before == old->groups.end()) return;
-  if (before->second.primary != group.primary) state.silent_for = {};
+  if (before->second.primary == group.primary) return;
+  state.silent_for = {};
+  state.primary_uncertain_until = {};
 }
 
 void RelayCore::On(const SeatsChanged& event) {
@@ -353,6 +355,9 @@
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
     const Duration silent = SilenceOf(name, primary->id);
+    if (state.silent_for >= kReplaceableAfter && silent < kReplaceableAfter) {
+      state.primary_uncertain_until = Now() + kPromotionTime;
+    }
     state.silent_for = silent;
     const bool is_silent = silent > kMinReportedSilence;
     const bool position_due =
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -233,6 +233,8 @@
   ZoneContact m_zone_contact;
   // The zone is cut off, as far as this host can tell at the last tick.
   bool m_isolated = false;
+  // As in GroupState, for primaries in this zone, after an isolation.
+  Instant m_primary_uncertain_until{};
   Instant m_last_tick{};
   Instant m_last_contact_probe{};
   Instant m_last_write_sent{};
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -137,6 +137,11 @@
 };
 
 // What this host has observed of a group.
+// Other hosts may replace a primary that has been silent for this long.
+inline constexpr Milliseconds kReplaceableAfter{600};
+// A promotion has taken effect this long after it was called.
+inline constexpr Milliseconds kPromotionTime{1'500};
+
 struct GroupState {
   PositionWatermarks watermarks;
   Term newest_term = 0;
@@ -154,6 +159,9 @@
   // Nothing is sent to the primary until then, because a shared pool reported
   // that it does not answer.
   Instant held_until{};
+  // The primary has answered again after a silence in which another host may
+  // have replaced it. A promotion has taken effect by then.
+  Instant primary_uncertain_until{};
   Instant probe_after{};
   // When a caller last read from the group, and the least staleness that one of
   // its routes allows; 0 if there is no such route.
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -291,7 +291,7 @@
   if (committed && MayLoseCommits(connection->group)) {
     m_counters->Add("in_doubt_zone_isolated");
     answer.refusal = Refusal::kInDoubt;
-    answer.text = "zone is cut off, the commit may be rolled back";
+    answer.text = "primary may have been replaced, the commit may be lost";
   }
   if (verb == Verb::kCommit) {
     connection->in_transaction = false;
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -22,10 +22,8 @@
 constexpr Milliseconds kMinIsolationTimeout{200};
 constexpr Milliseconds kMaxIsolationTimeout{600};
 constexpr int kIsolationResponses = 4;
-constexpr char kRefusedText[] = "zone is cut off, retry after 500 ms";
-// A listed replica in this zone prevents a change of primary outside, but not
-// for ever: other hosts leave it out some seconds later than this.
-constexpr Milliseconds kIsolatedWriteLimit{4'000};
+constexpr char kRefusedText[] =
+    "primary may have been replaced, retry after 500 ms";
 // Ticks come every few milliseconds. After a longer gap the process was
 // suspended, and answers are still to be read.
 constexpr Milliseconds kMaxTickGap{100};
@@ -64,6 +62,7 @@
   if (isolated != m_isolated && !(isolated && suspended)) {
     m_isolated = isolated;
     if (isolated) m_counters->Add("zone_isolations");
+    if (!isolated) m_primary_uncertain_until = now + kPromotionTime;
     log::Event(
         log::Channel::kTraffic, log::Level::kWarn,
         isolated ? "zone_isolated" : "zone_connected",
@@ -102,33 +101,34 @@
   }
 }
 
-// A commit at a primary in a zone that is cut off can be acknowledged by a
-// replica that nobody outside knows of. Hosts outside replace the primary, and
-// the commit is rolled back.
+// A commit at a primary in a zone that is cut off may have been acknowledged by
+// a replica in the zone alone. Hosts outside do not know of one that has just
+// started, and leave out one that has been missing for long, so they may
+// replace the primary and roll the commit back. A promotion that was called
+// while the primary was silent takes effect only after it has answered again.
 bool RelayCore::MayLoseCommits(const GroupId& group) const {
   const auto found = m_directory->groups.find(group);
-  if (!m_isolated || found == m_directory->groups.end()) return false;
-  const auto silent_for = m_zone_contact.SilentFor(Now());
-  if (!found->second.synchronous || silent_for == Duration{}) return false;
-  const bool replica_in_zone = std::any_of(
-      m_directory->endpoints.begin(), m_directory->endpoints.end(),
-      [&](const auto& item) {
-        const auto& endpoint = item.second;
-        if (endpoint.group != group || endpoint.id == found->second.primary) {
-          return false;
-        }
-        const auto health = m_health.find(endpoint.id);
-        return endpoint.zone == m_settings.zone && health != m_health.end() &&
-               health->second.Failures() == 0;
-      });
-  return !replica_in_zone || silent_for >= kIsolatedWriteLimit;
+  if (found == m_directory->groups.end() || !found->second.synchronous) {
+    return false;
+  }
+  const auto now = Now();
+  const auto state = m_groups.find(group);
+  if (state != m_groups.end() &&
+      (state->second.silent_for >= kReplaceableAfter ||
+       now < state->second.primary_uncertain_until)) {
+    return true;
+  }
+  if (m_isolated && m_zone_contact.SilentFor(now) > Duration{}) return true;
+  if (!m_isolated && now >= m_primary_uncertain_until) return false;
+  return !found->second.primary.empty() && !InOtherZone(found->second.primary);
 }
 
 void RelayCore::RefuseIsolatedWrite(Session* session) {
   m_counters->Add("refused_zone_isolated");
   if (session->state == TxState::kOpen) {
     return RefuseInTransaction(session, Refusal::kAborted,
-                               "zone is cut off, transaction was rolled back");
+                               "primary may have been replaced, transaction "
+                               "was rolled back");
   }
   Refuse(session, Refusal::kBusy, kRefusedText);
 }
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -96,12 +96,62 @@
   EXPECT_EQ(answer->refusal, Refusal::kBusy);
 }
 
-// A listed replica in the zone keeps hosts outside from replacing the primary,
-// though not for ever.
-TEST(CutOffZone, ListedReplicaInTheZoneAllowsWritesForAWhile) {
+// Commits that a listed replica in the zone had acknowledged alone were rolled
+// back when hosts outside left it out (review case 2, seeds 12 and 16).
+TEST(CutOffZone, ListedReplicaInTheZoneDoesNotAllowWrites) {
   RelayBench bench;
   RecordWatermark(&bench);
   CutOffZone(&bench, true);
+  const auto answer = Write(&bench);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+}
+
+// All endpoints answer for this many ticks.
+void AnswerAll(RelayBench* bench, int ticks) {
+  bench->unresponsive = false;
+  for (int i = 0; i < ticks; ++i) {
+    bench->Tick(Milliseconds(20));
+    const auto pending = std::exchange(bench->PendingStatements(), {});
+    for (const auto& item : pending) {
+      StatementResult result;
+      result.text = "-";
+      result.position = bench->log_position;
+      bench->Handle(StatementDone{item.statement.connection, result});
+    }
+  }
+}
+
+// A primary in the zone went on acknowledging right after the cut, and the
+// promotion of another one took effect then (review case 2, seed 16).
+TEST(CutOffZone, PrimaryThatMayHaveBeenReplacedIsNotWrittenTo) {
+  RelayBench bench;
+  RecordWatermark(&bench);
+  CutOffZone(&bench, false);
+  AnswerAll(&bench, 20);
+  const auto answer = Write(&bench);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+  AnswerAll(&bench, 90);
+  EXPECT_FALSE(Write(&bench));
+}
+
+// The same for a host outside the zone, which wrote as soon as the primary
+// answered again (review case 2, seed 18).
+TEST(SilentPrimary, IsNotWrittenToUntilAPromotionHasTakenEffect) {
+  RelayBench bench;
+  RecordWatermark(&bench);
+  auto directory = bench.MakeDirectory();
+  directory.groups.at("g").synchronous = true;
+  bench.Publish(directory);
+  bench.unresponsive = true;
+  Write(&bench);
+  for (int i = 0; i < 50; ++i) bench.Tick(Milliseconds(20));
+  AnswerAll(&bench, 20);
+  const auto answer = Write(&bench);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+  AnswerAll(&bench, 90);
   EXPECT_FALSE(Write(&bench));
 }
 
