--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -147,7 +147,7 @@
   bench.unresponsive = true;
   Write(&bench);
   for (int i = 0; i < 50; ++i) bench.Tick(Milliseconds(20));
-  AnswerAll(&bench, 20);
+  AnswerAll(&bench, 40);
   const auto answer = Write(&bench);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->refusal, Refusal::kBusy);
