Offer the configuration in force also from hosts that got it as an offer; count reasons apart

A host that had the configuration from an offer did not pass it on, so it was lost with the first hosts that had it. Whether the store lacks it is now read off the eras of the two rows, without a flag.

--- a/Source/Fleet/directory_builder.cc
+++ b/Source/Fleet/directory_builder.cc
@@ -44,8 +44,7 @@
   const auto it = rows.find(m_codec->ConfigKey());
   if (it == rows.end() || it->second.version <= m_config_version) return;
   m_config_version = it->second.version;
-  m_config_outdated =
-      !AdoptConfig(it->second) && it->second.value != m_config_row.value;
+  AdoptConfig(it->second);
 }
 
 bool DirectoryBuilder::AdoptConfig(const Row& row) {
@@ -73,8 +72,8 @@
 }
 
 std::optional<Row> DirectoryBuilder::ConfigMissingFromStore() const {
-  if (!m_config || !m_config_outdated) return std::nullopt;
-  return m_config_row;
+  const bool missing = m_config_row.version.era < m_config_version.era;
+  return missing ? std::make_optional(m_config_row) : std::nullopt;
 }
 
 bool DirectoryBuilder::IsOutdated(const Row& row,
--- a/Source/Fleet/directory_builder.h
+++ b/Source/Fleet/directory_builder.h
@@ -120,10 +120,8 @@
   std::optional<FleetConfig> m_config;
   // The row that the configuration in force comes from.
   Row m_config_row;
-  // Version of the last row of the configuration read from the store, and
-  // whether that row was older than the one in force.
+  // Version of the last row of the configuration read from the store.
   RowVersion m_config_version;
-  bool m_config_outdated = false;
   std::set<ZoneId> m_zones_out_of_service;
   // Zones whose rows were gone when a new era of the store began, and until
   // when they stay out of service.
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -32,6 +32,7 @@
 constexpr Milliseconds kClaimCheckDelay{3'000};
 constexpr Milliseconds kClaimCheckRankDelay{500};
 constexpr std::size_t kClaimCheckHosts = 3;
+// More than the claims of a group in one era of the store.
 constexpr std::uint64_t kTokensPerEra = 1'000'000;
 
 std::string EncodeClaim(const HostId& holder, std::uint64_t token,
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -173,7 +173,7 @@
   // does not hear of.
   bool MayLoseCommits(const GroupId& group) const;
   // Precondition: the statement has not been sent.
-  void RefuseIsolatedWrite(Session* session);
+  void RefuseUncertainWrite(Session* session);
 
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -66,7 +66,7 @@
 bool RelayCore::Dispatch(Session* session) {
   auto& request = *session->request;
   if (Commits(*session) && MayLoseCommits(session->route.group)) {
-    RefuseIsolatedWrite(session);
+    RefuseUncertainWrite(session);
     return true;
   }
   if (session->pinned != 0) {
@@ -289,7 +289,8 @@
        {"run_ms", log::MillisecondsText(Now() - request.forwarded)}});
   auto answer = result;
   if (committed && MayLoseCommits(connection->group)) {
-    m_counters->Add("in_doubt_zone_isolated");
+    m_counters->Add(m_isolated ? "in_doubt_zone_isolated"
+                               : "in_doubt_primary_uncertain");
     answer.refusal = Refusal::kInDoubt;
     answer.text = "primary may have been replaced, the commit may be lost";
   }
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -123,8 +123,9 @@
   return !found->second.primary.empty() && !InOtherZone(found->second.primary);
 }
 
-void RelayCore::RefuseIsolatedWrite(Session* session) {
-  m_counters->Add("refused_zone_isolated");
+void RelayCore::RefuseUncertainWrite(Session* session) {
+  m_counters->Add(m_isolated ? "refused_zone_isolated"
+                             : "refused_primary_uncertain");
   if (session->state == TxState::kOpen) {
     return RefuseInTransaction(session, Refusal::kAborted,
                                "primary may have been replaced, transaction "
