--- a/Source/Common/types.h
+++ b/Source/Common/types.h
@@ -29,5 +29,10 @@
   LogPosition position = 0;
   auto operator<=>(const GroupPosition&) const = default;
 };
+// As TERM.POSITION, for log lines.
+inline std::string TextOf(const GroupPosition& position) {
+  return std::to_string(position.term) + "." +
+         std::to_string(position.position);
+}
 
 }  // namespace tiller
--- /dev/null
+++ b/Source/Fleet/claim_row.h
@@ -0,0 +1,32 @@
+// The row by which a host claims the right to replace the primary of a group.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "Fleet/fleet_messages.h"
+
+namespace tiller::fleet {
+
+// Table of the claims; the keys are groups.
+inline constexpr char kClaimTable[] = "primaries";
+
+struct ClaimRow {
+  HostId holder;
+  std::uint64_t token = 0;
+  StoreTime claimed_at{0};
+  bool finished = false;
+  // The endpoint to be promoted; if finished, it was promoted. Empty: none.
+  EndpointId target;
+  // The platform has answered a promotion under this token, so it refuses all
+  // promotions under older ones.
+  bool settled = false;
+  GroupPosition acknowledged;  // as known to the hosts that have held it
+  StoreEra era = 0;            // in which it was made
+};
+
+std::string Encode(const ClaimRow& claim);
+// Returns nullopt if the value is unreadable.
+std::optional<ClaimRow> DecodeClaim(const std::string& value);
+
+}  // namespace tiller::fleet
--- /dev/null
+++ b/Source/Fleet/commit_lease.cc
@@ -0,0 +1,174 @@
+// Implementation of the commit lease.
+#include "Fleet/commit_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/json.h"
+#include "Common/log.h"
+#include "Fleet/claim_row.h"
+
+namespace tiller::fleet {
+namespace {
+
+constexpr Milliseconds kQueryInterval{700};
+// Once less than this is left of the lease, several hosts are asked at once.
+constexpr Milliseconds kUrgentLeft{1'200};
+constexpr Milliseconds kUrgentQueryInterval{150};
+constexpr std::size_t kUrgentQueries = 3;
+// After this time without an answer, and a random part of the spread, the store
+// is asked as well.
+constexpr Milliseconds kStoreAfter{400};
+constexpr Milliseconds kStoreSpread{400};
+constexpr Milliseconds kStoreInterval{500};
+constexpr Milliseconds kStoreAnswerLimit{600};
+
+}  // namespace
+
+Instant CommitLease::ValidUntil() const {
+  // Before the seats are known, other hosts may exist.
+  if (!m_seats->Loaded()) return Instant{};
+  return m_seats->Peers().empty() ? Instant::max() : m_valid_until;
+}
+
+void CommitLease::Extend(Instant requested_at) {
+  m_valid_until = std::max(m_valid_until, requested_at + kCommitLease);
+  m_informed = true;
+}
+
+void CommitLease::Query(const FleetHost& host) {
+  const peer::LeaseQuery query{m_next_nonce++};
+  m_queries[query.nonce] = m_clock->Now();
+  if (!m_asked_since) {
+    m_asked_since = m_clock->Now();
+    m_store_after = kStoreAfter +
+                    Milliseconds(m_random->UniformBelow(kStoreSpread.count()));
+  }
+  m_counters->Add("commit_lease_queries");
+  m_actions.push_back(SendPeer{host.address, query});
+}
+
+void CommitLease::Tick() {
+  const auto now = m_clock->Now();
+  std::erase_if(m_queries, [&](const auto& item) {
+    return now - item.second > kCommitLease;
+  });
+  std::erase_if(m_granted_until,
+                [&](const auto& item) { return item.second <= now; });
+  auto peers = m_seats->Peers();
+  if (peers.empty()) {
+    m_informed |= m_seats->Loaded();
+    return;
+  }
+  const bool urgent = m_valid_until - now < kUrgentLeft;
+  if (m_asked_since && now - *m_asked_since >= m_store_after) StartStoreLease();
+  if (now < m_next_query_at) return;
+  m_next_query_at = now + (urgent ? kUrgentQueryInterval : kQueryInterval);
+  const auto others_begin = std::partition(
+      peers.begin(), peers.end(),
+      [&](const auto& peer) { return peer.zone != m_self.zone; });
+  // An urgent request also goes to hosts of the own zone.
+  if (!urgent && others_begin != peers.begin()) {
+    peers.erase(others_begin, peers.end());
+  }
+  const std::size_t count = urgent ? kUrgentQueries : 1;
+  for (std::size_t sent = 0; sent < count && !peers.empty(); ++sent) {
+    const auto pick = m_random->UniformBelow(peers.size());
+    Query(peers[pick]);
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+std::optional<peer::LeaseGrant> CommitLease::Grant(
+    const HostId& to, const peer::LeaseQuery& query) {
+  if (!m_informed) return std::nullopt;
+  m_granted_until[to] = m_clock->Now() + kCommitLease;
+  return peer::LeaseGrant{query.nonce, {}};
+}
+
+void CommitLease::Handle(const peer::LeaseGrant& grant) {
+  const auto query = m_queries.find(grant.nonce);
+  if (query == m_queries.end()) return;
+  Extend(query->second);
+  m_queries.erase(query);
+  m_asked_since.reset();
+}
+
+std::vector<peer::GrantedLease> CommitLease::Granted() const {
+  std::vector<peer::GrantedLease> out;
+  const auto now = m_clock->Now();
+  for (const auto& [host, until] : m_granted_until) {
+    if (until <= now) continue;
+    out.push_back(
+        {host, std::chrono::duration_cast<Milliseconds>(until - now)});
+  }
+  return out;
+}
+
+// ---- the store
+
+void CommitLease::StartStoreLease() {
+  const auto now = m_clock->Now();
+  if (m_step != StoreStep::kNone || now < m_next_store_call_at) return;
+  m_next_store_call_at = now + kStoreInterval;
+  m_counters->Add("commit_lease_store_calls");
+  m_step = StoreStep::kReadingRow;
+  m_store_call = ReadTable{kLeaseTable, kStoreAnswerLimit};
+}
+
+bool CommitLease::Handle(const TableRead& event) {
+  m_call = 0;
+  const auto step = std::exchange(m_step, StoreStep::kNone);
+  if (event.status != StoreStatus::kDone) return false;
+  if (step == StoreStep::kReadingClaims) {
+    Extend(m_row_sent_at);
+    return true;
+  }
+  const auto row =
+      std::find_if(event.rows.begin(), event.rows.end(),
+                   [&](const Row& other) { return other.key == m_self.host; });
+  m_row_version =
+      row == event.rows.end() ? RowVersion{event.era, 0} : row->version;
+  m_step = StoreStep::kWritingRow;
+  m_row_sent_at = m_clock->Now();
+  Json::Value value;
+  const auto estimate = m_seats->EstimatedStoreTime();
+  const auto until =
+      std::max(estimate.value_or(event.now), event.now) + kCommitLease;
+  value["until"] = Json::Int64(until.count());
+  m_store_call =
+      WriteRow{0, kLeaseTable, m_self.host, ToText(value), m_row_version};
+  return false;
+}
+
+void CommitLease::Handle(const RowWritten& event) {
+  m_call = 0;
+  m_step = StoreStep::kNone;
+  if (event.status != StoreStatus::kDone) return;
+  m_step = StoreStep::kReadingClaims;
+  m_store_call = ReadTable{kClaimTable, kStoreAnswerLimit};
+}
+
+std::optional<peer::GrantedLease> CommitLease::ReadRow(const Row& row,
+                                                       StoreTime now) {
+  const auto json = ParseJson(row.value);
+  if (!json) return std::nullopt;
+  const StoreTime until(
+      static_cast<StoreTime::rep>(UintOr(json.value(), "until")));
+  return peer::GrantedLease{
+      row.key,
+      std::clamp<Milliseconds>(until - now, Milliseconds(0), kCommitLease)};
+}
+
+std::vector<Action> CommitLease::TakeActions(CallId* next_call) {
+  auto out = std::exchange(m_actions, {});
+  if (!m_store_call) return out;
+  m_call = (*next_call)++;
+  if (auto* read = std::get_if<ReadTable>(&*m_store_call)) read->call = m_call;
+  if (auto* write = std::get_if<WriteRow>(&*m_store_call)) write->call = m_call;
+  out.push_back(std::move(*m_store_call));
+  m_store_call.reset();
+  return out;
+}
+
+}  // namespace tiller::fleet
--- /dev/null
+++ b/Source/Fleet/commit_lease.h
@@ -0,0 +1,107 @@
+// The lease under which this host passes commits on to callers, and the leases
+// that it has granted to other hosts.
+//
+// A host that replaces a primary first has all hosts hold the group's commits;
+// see commit_guard.h. A host that this request does not reach learns of the
+// hold with its next lease, or its lease ends. The replacing host waits until
+// then.
+//
+// - Any host may grant a lease, unless it has started and has had none itself:
+//   it may not know of holds that were asked for before. Hosts of other zones
+//   are asked first, so that those of a zone that is cut off do not only ask
+//   each other.
+// - A host that gets no answer from others takes a lease from the store: it
+//   writes a row that says so, and then reads the claims. Either it finds the
+//   claim of a host that replaces a primary, or that host, which reads the rows
+//   after it has made its claim, finds the row.
+// - A lease counts from when it was requested, on the clock of its holder.
+// - A host that knows of no other host needs no lease.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Common/counters.h"
+#include "Common/random.h"
+#include "Fleet/fleet_messages.h"
+#include "Fleet/seat_table.h"
+
+namespace tiller::fleet {
+
+inline constexpr char kLeaseTable[] = "commit_leases";
+inline constexpr Milliseconds kCommitLease{2'000};
+
+class CommitLease {
+ public:
+  CommitLease(FleetHost self, const SeatTable* seats, const Clock* clock,
+              Random* random, Counters* counters)
+      : m_self(std::move(self)),
+        m_seats(seats),
+        m_clock(clock),
+        m_random(random),
+        m_counters(counters) {}
+
+  // Commits may be passed on until then.
+  Instant ValidUntil() const;
+  // Requests a lease if one is due.
+  void Tick();
+  // Grants a lease. The caller adds the holds that it knows.
+  // Returns nullopt if this host may not know all holds yet.
+  std::optional<peer::LeaseGrant> Grant(const HostId& to,
+                                        const peer::LeaseQuery& query);
+  void Handle(const peer::LeaseGrant& grant);
+  // The leases granted to other hosts that have not ended.
+  std::vector<peer::GrantedLease> Granted() const;
+
+  // Answers of the store to the calls of TakeActions.
+  bool OwnsCall(CallId call) const { return call != 0 && call == m_call; }
+  void Handle(const RowWritten& event);
+  // Returns true if the rows are those of the claims, which now are known to
+  // this host.
+  bool Handle(const TableRead& event);
+  std::vector<Action> TakeActions(CallId* next_call);
+  // The lease in a row of the lease table, from `now` on the store's clock;
+  // nullopt if the row is unreadable.
+  static std::optional<peer::GrantedLease> ReadRow(const Row& row,
+                                                   StoreTime now);
+
+ private:
+  enum class StoreStep { kNone, kReadingRow, kWritingRow, kReadingClaims };
+  void Query(const FleetHost& host);
+  void StartStoreLease();
+  void Extend(Instant requested_at);
+
+  const FleetHost m_self;
+  const SeatTable* const m_seats;
+  const Clock* const m_clock;
+  Random* const m_random;
+  Counters* const m_counters;
+  Instant m_valid_until{};
+  // Has had a lease since its start, or was the first host of the fleet.
+  bool m_informed = false;
+  std::uint64_t m_next_nonce = 1;
+  // When the queries that may still be answered were sent.
+  std::map<std::uint64_t, Instant> m_queries;
+  Instant m_next_query_at{};
+  // The first query since the last grant.
+  std::optional<Instant> m_asked_since;
+  std::map<HostId, Instant> m_granted_until;
+  // The call to the store in progress; 0: none.
+  StoreStep m_step = StoreStep::kNone;
+  CallId m_call = 0;
+  RowVersion m_row_version;
+  // Time before the row was written, from which the lease counts.
+  Instant m_row_sent_at{};
+  Instant m_next_store_call_at{};
+  // Differs among hosts, so that some take a lease from the store and grant the
+  // others theirs.
+  Milliseconds m_store_after{0};
+  std::vector<Action> m_actions;
+  // A call to the store that has no call id yet.
+  std::optional<Action> m_store_call;
+};
+
+}  // namespace tiller::fleet
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -30,60 +30,30 @@
 // After this time, the host that replaced the primary has normally resumed the
 // replicas.
 constexpr Milliseconds kClaimCheckDelay{3'000};
-constexpr Milliseconds kClaimCheckRankDelay{500};
-constexpr std::size_t kClaimCheckHosts = 3;
 // More than the claims of a group in one era of the store.
 constexpr std::uint64_t kTokensPerEra = 1'000'000;
 
-std::string EncodeClaim(const HostId& holder, std::uint64_t token,
-                        StoreTime now, bool finished, const EndpointId& target,
-                        bool settled, const GroupPosition& acknowledged,
-                        StoreEra era) {
-  Json::Value out;
-  out["holder"] = holder;
-  out["token"] = Json::UInt64(token);
-  out["claimed"] = Json::Int64(now.count());
-  out["finished"] = finished;
-  out["target"] = target;
-  out["settled"] = settled;
-  out["acknowledged_term"] = Json::UInt64(acknowledged.term);
-  out["acknowledged_position"] = Json::UInt64(acknowledged.position);
-  out["era"] = Json::UInt64(era);
-  return ToText(out);
-}
-
 }  // namespace
 
 void PrimaryFailover::StartClaimRead(const GroupId&, Job* job) {
   job->stage = Stage::kReadingClaim;
   job->stage_deadline = m_clock->Now() + kClaimTimeout;
   m_reading_claims = true;
-  m_actions.push_back(ReadTable{kPrimaryTable});
+  m_actions.push_back(ReadTable{kClaimTable});
 }
 
 void PrimaryFailover::Handle(const TableRead& event) {
   m_reading_claims = false;
   std::map<std::string, Claim> claims;
   for (const auto& row : event.rows) {
-    const auto json = ParseJson(row.value);
-    if (!json) {
+    auto& claim = claims[row.key];
+    if (auto decoded = DecodeClaim(row.value)) {
+      static_cast<ClaimRow&>(claim) = std::move(*decoded);
+    } else {
       log::Event(log::Channel::kFailover, log::Level::kWarn, "claim_unreadable",
                  {{"group", row.key}});
-      claims[row.key].version = row.version;
-      continue;
     }
-    const auto& value = json.value();
-    claims[row.key] = {
-        StringOr(value, "holder"),
-        UintOr(value, "token"),
-        StoreTime(static_cast<StoreTime::rep>(UintOr(value, "claimed"))),
-        BoolOr(value, "finished"),
-        !StringOr(value, "target").empty(),
-        BoolOr(value, "settled"),
-        {UintOr(value, "acknowledged_term"),
-         UintOr(value, "acknowledged_position")},
-        UintOr(value, "era"),
-        row.version};
+    claim.version = row.version;
   }
   for (auto& [group, job] : m_jobs) {
     if (job.stage != Stage::kReadingClaim) continue;
@@ -128,6 +98,7 @@
 void PrimaryFailover::OnClaimRead(const GroupId& group, Job* job,
                                   const Claim& claim, StoreTime now) {
   job->acknowledged = std::max(job->acknowledged, claim.acknowledged);
+  m_guard->Observe(group, claim);
   const bool held_by_other = claim.holder != m_self && !claim.holder.empty();
   const bool no_open_claim = claim.finished || claim.holder.empty();
   if (job->reason == kReasonUnfinished && no_open_claim &&
@@ -139,7 +110,7 @@
       now - claim.claimed_at < kClaimLease) {
     return PostponeClaim(job);
   }
-  if (held_by_other && claim.finished && claim.promoted &&
+  if (held_by_other && claim.finished && !claim.target.empty() &&
       now - claim.claimed_at < kPromotionSettleTime) {
     // Another host has just replaced the primary, and the reports of the
     // endpoints have not arrived yet.
@@ -150,8 +121,10 @@
     return PostponeClaim(job);
   }
   const auto token = std::max(claim.token, m_era * kTokensPerEra) + 1;
-  job->claim = {m_self, token, now,   false,        false,
-                false,  {},    m_era, claim.version};
+  job->claim = {{m_self, token, now, false, {}, false, {}, m_era},
+                claim.version};
+  job->commits_held = false;
+  job->target_allowed = false;
   job->promotion_pending =
       (!no_open_claim && !claim.settled) || MayHaveSuccessors(claim);
   job->fences_older_promotion = job->promotion_pending;
@@ -165,12 +138,12 @@
 // read or last written.
 void PrimaryFailover::WriteClaim(const GroupId& group, Job* job, bool finished,
                                  const EndpointId& target) {
+  ClaimRow row = job->claim;
+  row.finished = finished;
+  row.target = target;
+  row.acknowledged = job->acknowledged;
   job->pending_calls.push_back(
-      WriteRow{0, kPrimaryTable, group,
-               EncodeClaim(m_self, job->claim.token, job->claim.claimed_at,
-                           finished, target, job->claim.settled,
-                           job->acknowledged, job->claim.era),
-               job->claim.version});
+      WriteRow{0, kClaimTable, group, Encode(row), job->claim.version});
 }
 
 bool PrimaryFailover::EnsureClaimFresh(const GroupId& group, Job* job) {
@@ -212,6 +185,7 @@
               {"reason", reason},
               {"token", std::to_string(job->claim.token)}});
   job->promotion_pending |= job->promote_outstanding;
+  if (!job->promotion_pending) m_guard->Release(group, job->claim.token);
   job->may_have_left_paused |=
       !job->pause_answers.empty() || !job->to_resume.empty();
   job->pause_answers.clear();
@@ -233,7 +207,8 @@
   job->promotion_pending |= job->promote_outstanding;
   const bool acted =
       job->stage == Stage::kProbing || job->stage == Stage::kSteppingDown ||
-      job->stage == Stage::kPausing || job->stage == Stage::kPromoting;
+      job->stage == Stage::kPausing || job->stage == Stage::kAwaitingHold ||
+      job->stage == Stage::kPromoting;
   const bool claim_fresh =
       m_clock->Now() - job->claim_sent_at <= kMaxClaimAge &&
       !job->renewing_claim;
@@ -259,6 +234,7 @@
   job->promote_outstanding = false;
   job->next_attempt_at = m_clock->Now() + kRetryBackoff;
   if (!acted) return;
+  m_guard->Release(group, job->claim.token);
   // Another host may reach the endpoints that this host cannot reach.
   job->next_attempt_at = m_clock->Now() + kYieldBackoff;
   WriteClaim(group, job, true, {});
@@ -270,7 +246,16 @@
   job->check_claim_at = m_clock->Now() + kClaimCheckDelay;
 }
 
+// From then on, hosts pass on the commits of the target as soon as they know it
+// as the primary.
+void PrimaryFailover::AllowTarget(const GroupId& group, Job* job) {
+  if (std::exchange(job->target_allowed, true)) return;
+  if (job->target.empty()) return m_guard->Release(group, job->claim.token);
+  m_guard->AllowTarget(group, job->claim.token, job->target);
+}
+
 void PrimaryFailover::Finish(const GroupId& group, Job* job) {
+  AllowTarget(group, job);
   m_counters->Add("failover_finished");
   log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_finished",
              {{"group", group},
@@ -355,6 +340,7 @@
   }
   if (!target_is_primary || now < job->next_resume_at) return;
   if (!EnsureClaimFresh(group, job)) return;
+  AllowTarget(group, job);
   job->next_resume_at = now + kResumeRetryInterval;
   for (const auto& id : job->to_resume) {
     SendAdminRequest(group, id, relay::Verb::kContinue, 0);
--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -83,7 +83,6 @@
   for (const auto &id : job->unanswered_probes) {
     SendAdminRequest(group, id, relay::Verb::kStatus, 0);
   }
-  m_peer_messages.push_back(peer::CommitQuery{group});
 }
 
 void PrimaryFailover::OnProbeAnswered(const GroupId &group, Job *job,
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -24,7 +24,9 @@
                settings.operator_table, settings.endpoint_table, &m_seats,
                clock, random, counters),
       m_builder(codec, clock),
-      m_failover(settings.host, settings.zone, clock, counters) {}
+      m_guard({settings.host, settings.address, settings.zone}, &m_seats, clock,
+              random, counters),
+      m_failover(settings.host, settings.zone, &m_guard, clock, counters) {}
 
 void FleetCore::Handle(const Event& event) {
   std::visit([this](const auto& alternative) { On(alternative); }, event);
@@ -73,7 +75,10 @@
   auto event = answer;
   CheckEra(&event);
   if (event.status != StoreStatus::kDone) m_counters->Add("store_reads_failed");
-  if (event.table == kPrimaryTable) return m_failover.Handle(event);
+  if (event.table == kLeaseTable || m_guard.OwnsCall(event.call)) {
+    return m_guard.Handle(event);
+  }
+  if (event.table == kClaimTable) return m_failover.Handle(event);
   OnTableAnswer(event);
 }
 
@@ -105,6 +110,7 @@
     if (m_seats.Handle(event)) PublishSeats();
     return;
   }
+  if (m_guard.OwnsCall(event.call)) return m_guard.Handle(event);
   m_failover.Handle(event);
 }
 
@@ -119,6 +125,12 @@
 
 void FleetCore::On(const relay::AdminDone& event) { m_failover.Handle(event); }
 
+void FleetCore::On(const relay::CommitsHeld& event) {
+  m_guard.Handle(event);
+  m_failover.Handle(
+      peer::CommitReport{event.group, event.acknowledged, event.token, {}});
+}
+
 void FleetCore::On(const relay::SendShare& event) {
   const auto address = m_seats.AddressOf(event.to);
   if (!address) return;
@@ -140,14 +152,17 @@
           std::get_if<peer::StepDownRequest>(&envelope.message)) {
     return m_failover.Handle(*request);
   }
-  if (const auto* query = std::get_if<peer::CommitQuery>(&envelope.message)) {
-    m_actions.push_back(
-        SendPeer{envelope.from_address,
-                 peer::CommitReport{query->group,
-                                    m_failover.Acknowledged(query->group)}});
-    return;
+  if (const auto* hold = std::get_if<peer::CommitHold>(&envelope.message)) {
+    return m_guard.Handle(envelope, *hold);
+  }
+  if (const auto* query = std::get_if<peer::LeaseQuery>(&envelope.message)) {
+    return m_guard.Handle(envelope, *query);
+  }
+  if (const auto* grant = std::get_if<peer::LeaseGrant>(&envelope.message)) {
+    return m_guard.Handle(envelope, *grant);
   }
   if (const auto* report = std::get_if<peer::CommitReport>(&envelope.message)) {
+    m_guard.Handle(envelope, *report);
     return m_failover.Handle(*report);
   }
   if (const auto* copy = std::get_if<peer::TableCopy>(&envelope.message)) {
@@ -235,6 +250,7 @@
   if (m_builder.ExpireMissing()) Publish();
   if (m_seats.CountedSeatsChanged()) PublishSeats();
   m_tables.Tick();
+  m_guard.Tick();
   // Failover runs only after the endpoint table has been read, since a group
   // looks empty before that. Right after a store outage no failover starts,
   // since the rows may be out of date.
@@ -255,6 +271,9 @@
   for (auto& action : m_failover.TakeActions(&m_next_call)) {
     m_actions.push_back(std::move(action));
   }
+  for (auto& action : m_guard.TakeActions(&m_next_call)) {
+    m_actions.push_back(std::move(action));
+  }
   for (const auto& message : m_failover.TakePeerMessages()) {
     for (const auto& peer : m_seats.Peers()) {
       m_actions.push_back(SendPeer{peer.address, message});
--- a/Source/Fleet/fleet_core.h
+++ b/Source/Fleet/fleet_core.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Fleet/commit_guard.h"
 #include "Fleet/directory_builder.h"
 #include "Fleet/primary_failover.h"
 #include "Fleet/seat_table.h"
@@ -43,6 +44,7 @@
   void On(const relay::PrimaryHealth& event);
   void On(const relay::AdminDone& event);
   void On(const relay::SendShare& event);
+  void On(const relay::CommitsHeld& event);
   void On(const TimerFired& event);
 
   // Sends the configuration in force to a host that has an older one and can't
@@ -69,6 +71,7 @@
   SeatTable m_seats;
   TableReplication m_tables;
   DirectoryBuilder m_builder;
+  CommitGuard m_guard;
   PrimaryFailover m_failover;
   relay::DirectoryPtr m_directory;
   CallId m_next_call = 1;
--- a/Source/Fleet/fleet_messages.h
+++ b/Source/Fleet/fleet_messages.h
@@ -93,7 +93,7 @@
 
 using Event = std::variant<TableRead, TableChanged, RowWritten, PromoteAnswered,
                            PeerReceived, relay::PrimaryHealth, relay::AdminDone,
-                           relay::SendShare, TimerFired>;
+                           relay::SendShare, relay::CommitsHeld, TimerFired>;
 
 // `answer_limit` is the time in which the answer has to arrive, beyond the wait
 // that a call requests.
@@ -135,6 +135,7 @@
 
 using Action = std::variant<ReadTable, FollowTable, WriteRow, Promote, SendPeer,
                             PublishDirectory, relay::SeatsChanged,
-                            relay::AdminRequest, relay::ShareReceived>;
+                            relay::AdminRequest, relay::ShareReceived,
+                            relay::HoldCommits, relay::CommitLeaseChanged>;
 
 }  // namespace tiller::fleet
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -38,6 +38,8 @@
 // After this many reverted failovers, the best replica is promoted even if it
 // lacks entries of the old primary, unless they may be acknowledged.
 constexpr int kMaxReverts = 2;
+// Longer than a commit lease, with time for the answers.
+constexpr Milliseconds kHoldTimeout{2'500};
 constexpr int kMaxPauseRefusals = 8;
 constexpr Milliseconds kPromoteRetryInterval{600};
 constexpr Milliseconds kPromoteTimeout{12'000};
@@ -48,11 +50,6 @@
 // time. If it is not, the commits that only it has are lost.
 constexpr Milliseconds kMissingCommitsTimeout{30'000};
 
-std::string PositionText(const GroupPosition& position) {
-  return std::to_string(position.term) + "." +
-         std::to_string(position.position);
-}
-
 Duration RankDelay(std::size_t host_rank) {
   const auto near = std::min(host_rank, kNearHosts);
   const auto far = std::min(host_rank - near, kMaxFarHosts);
@@ -79,8 +76,9 @@
 // A replica that appears or restarts during a failover must not acknowledge
 // commits of the old primary.
 void PrimaryFailover::PauseNewReplicas(const GroupId& group, Job* job) {
-  const bool choosing =
-      job->stage == Stage::kPausing || job->stage == Stage::kPromoting;
+  const bool comparing =
+      job->stage == Stage::kPausing || job->stage == Stage::kAwaitingHold;
+  const bool choosing = comparing || job->stage == Stage::kPromoting;
   const bool awaiting_primary =
       job->stage == Stage::kResuming && !job->target.empty();
   const auto row = m_directory->groups.find(group);
@@ -102,7 +100,11 @@
                   {"endpoint", id},
                   {"token", std::to_string(job->claim.token)}});
     }
-    if (job->stage == Stage::kPausing) job->pause_answers[id] = std::nullopt;
+    if (comparing) {
+      job->pause_answers[id] = std::nullopt;
+      job->stage = Stage::kPausing;
+      job->stage_deadline = m_clock->Now() + kPauseTimeout;
+    }
     job->to_resume.insert(id);
     SendPause(group, id, job);
   }
@@ -172,6 +174,9 @@
       if (log_delivered || overdue) StartPause(group, job);
       return;
     }
+    case Stage::kAwaitingHold:
+      if (overdue) return GiveUp(group, job, "a host may pass on commits");
+      return MaybeChooseTarget(group, job);
     case Stage::kPromoting:
       if (overdue) return GiveUp(group, job, "promotion got no answer");
       if (now < job->next_promote_at || job->promote_outstanding) return;
@@ -191,6 +196,10 @@
     job->others_asked = false;
     job->commits_missing_since.reset();
     m_history.PrimaryAnswers(group);
+    if (!job->check_claim_at && host_rank < kClaimCheckHosts &&
+        m_guard->IsOverdue(group)) {
+      job->check_claim_at = now + kClaimCheckRankDelay * host_rank;
+    }
     if (!job->check_claim_at || now < *job->check_claim_at || m_reading_claims)
       return;
     job->check_claim_at.reset();
@@ -214,7 +223,14 @@
     grace = job->known_primary.empty() ? kFirstPrimaryGracePeriod
                                        : kNoPrimaryGracePeriod;
   }
-  const auto start = job->suspected_since + grace + RankDelay(host_rank);
+  auto start = job->suspected_since + grace + RankDelay(host_rank);
+  // The hosts take turns after an attempt has failed, too.
+  if (const auto released = m_guard->ReleasedByOther(group)) {
+    start = std::max(start, *released + RankDelay(host_rank));
+  }
+  if (m_guard->HeldByOther(group)) return;
+  // Without a primary that could step down, the attempt would fail.
+  if (trigger == kReasonNoPrimary && m_history.HasGone(group)) return;
   if (now < start || now < job->next_attempt_at || m_reading_claims ||
       !m_tables_current)
     return;
@@ -257,6 +273,7 @@
 // acknowledge its commits.
 void PrimaryFailover::StartStepDown(const GroupId& group, Job* job) {
   const auto& primary = job->old_primary;
+  HoldCommits(group, job);
   job->stage = Stage::kSteppingDown;
   job->stage_deadline =
       m_clock->Now() +
@@ -280,17 +297,21 @@
   if (job == m_jobs.end()) return;  // the group is unknown here
   auto& acknowledged = job->second.acknowledged;
   acknowledged = std::max(acknowledged, report.acknowledged);
-}
-
-GroupPosition PrimaryFailover::Acknowledged(const GroupId& group) const {
-  const auto job = m_jobs.find(group);
-  return job == m_jobs.end() ? GroupPosition{} : job->second.acknowledged;
+  if (job->second.stage == Stage::kAwaitingHold) {
+    MaybeChooseTarget(report.group, &job->second);
+  }
 }
 
 std::vector<peer::Message> PrimaryFailover::TakePeerMessages() {
   return std::exchange(m_peer_messages, {});
 }
 
+void PrimaryFailover::HoldCommits(const GroupId& group, Job* job) {
+  if (!std::exchange(job->commits_held, true)) {
+    m_guard->Hold(group, job->claim.token);
+  }
+}
+
 void PrimaryFailover::StartPause(const GroupId& group, Job* job) {
   // A primary that stepped down has reported the end of its log, which the
   // other replicas are compared to.
@@ -303,6 +324,7 @@
   const bool compare_to_primary =
       job->reason == kReasonLeaving || m_history.MayLackCommits(group);
   if (!compare_to_primary) job->stepped_down_at.reset();
+  HoldCommits(group, job);
   job->stage = Stage::kPausing;
   job->stage_deadline = m_clock->Now() + kPauseTimeout;
   job->pause_answers.clear();
@@ -387,7 +409,7 @@
       answer.reset();
       SendPause(group, id, &job);
     }
-    return ChooseTarget(group, &job);
+    return MaybeChooseTarget(group, &job);
   }
   log::Event(
       log::Channel::kFailover, log::Level::kInfo, "pause_refused",
@@ -418,14 +440,24 @@
   SendPause(group, event.endpoint, &job);
 }
 
+void PrimaryFailover::MaybeChooseTarget(const GroupId& group, Job* job) {
+  for (const auto& [id, answer] : job->pause_answers) {
+    if (!answer) return;
+  }
+  if (m_guard->AllHold(group)) {
+    if (EnsureClaimFresh(group, job)) ChooseTarget(group, job);
+    return;
+  }
+  if (job->stage == Stage::kAwaitingHold) return;
+  job->stage = Stage::kAwaitingHold;
+  job->stage_deadline = m_clock->Now() + kHoldTimeout;
+}
+
 // Selects the endpoint with the highest position. Ties go to an endpoint that
 // is not leaving, then to one that is neither in this host's zone nor in the
 // old primary's zone: if only these two zones are partitioned from each other,
 // a third zone reaches both.
 void PrimaryFailover::ChooseTarget(const GroupId& group, Job* job) {
-  for (const auto& [id, answer] : job->pause_answers) {
-    if (!answer) return;
-  }
   const auto primary = m_directory->endpoints.find(job->old_primary);
   const ZoneId old_zone =
       primary == m_directory->endpoints.end() ? ZoneId() : primary->second.zone;
@@ -458,20 +490,29 @@
   } else if (AwaitsCommits(group, job, best->second->received)) {
     return GiveUp(group, job, "no endpoint that answers has all commits");
   }
-  job->stage = Stage::kPromoting;
-  job->stage_deadline = m_clock->Now() + kPromoteTimeout;
-  job->promote_outstanding = false;
+  StartPromoting(group, job);
+  std::string compared;
+  for (const auto& [id, answer] : job->pause_answers) {
+    if (!compared.empty()) compared += ",";
+    compared += id + ":" + TextOf(answer->received);
+  }
   log::Event(
       log::Channel::kFailover, log::Level::kInfo, "failover_chosen",
       {{"group", group},
        {"target", job->target},
-       {"position", PositionText(best->second->received)},
-       {"acknowledged", PositionText(job->acknowledged)},
+       {"position", TextOf(best->second->received)},
+       {"acknowledged", TextOf(job->acknowledged)},
        {"replicas", std::to_string(job->pause_answers.size())},
+       {"compared", compared},
        {"old_primary",
-        job->stepped_down_at ? PositionText(*job->stepped_down_at) : "unknown"},
+        job->stepped_down_at ? TextOf(*job->stepped_down_at) : "unknown"},
        {"gone", std::to_string(m_history.GoneCount(group))},
        {"token", std::to_string(job->claim.token)}});
+}
+
+void PrimaryFailover::StartPromoting(const GroupId& group, Job* job) {
+  job->stage = Stage::kPromoting;
+  job->stage_deadline = m_clock->Now() + kPromoteTimeout;
   SendPromote(group, job);
 }
 
@@ -488,8 +529,8 @@
   log::Event(log::Channel::kFailover, log::Level::kWarn,
              waits ? "commits_awaited" : "commits_given_up",
              {{"group", group},
-              {"position", PositionText(received)},
-              {"acknowledged", PositionText(job->acknowledged)},
+              {"position", TextOf(received)},
+              {"acknowledged", TextOf(job->acknowledged)},
               {"token", std::to_string(job->claim.token)}});
   return waits;
 }
@@ -520,7 +561,11 @@
         job.promotion_pending = false;
         job.claim.settled = true;
         StartResume(group, &job);
-        if (job.fences_older_promotion) job.next_resume_at += kPromotionTime;
+        if (job.fences_older_promotion) {
+          job.next_resume_at += kPromotionTime;
+        } else {
+          AllowTarget(group, &job);
+        }
         return;
       case PromoteStatus::kFenced:
         return GiveUp(group, &job, "fenced, or the target does not run");
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -18,6 +18,8 @@
 //   replica that is not listed yet might acknowledge its commits. If a leaving
 //   primary holds entries that no listed replica has, it is promoted again and
 //   the failover is retried later.
+// - Before the target is chosen, no host passes on commits of the group any
+//   more; see commit_guard.h.
 // - Paused replicas are resumed only after the promoted endpoint has become
 //   primary. Before that, they could still acknowledge commits of the old
 //   primary. A host that finds an unfinished claim after a change of primary
@@ -42,22 +44,23 @@
 
 #include "Common/clock.h"
 #include "Common/counters.h"
+#include "Fleet/claim_row.h"
+#include "Fleet/commit_guard.h"
 #include "Fleet/fleet_messages.h"
 #include "Fleet/replica_history.h"
 #include "Relay/relay_types.h"
 
 namespace tiller::fleet {
 
-inline constexpr char kPrimaryTable[] = "primaries";
-
 inline constexpr char kReasonUnfinished[] = "unfinished";
 
 class PrimaryFailover {
  public:
-  PrimaryFailover(HostId self, ZoneId zone, const Clock* clock,
-                  Counters* counters)
+  PrimaryFailover(HostId self, ZoneId zone, CommitGuard* guard,
+                  const Clock* clock, Counters* counters)
       : m_self(std::move(self)),
         m_zone(std::move(zone)),
+        m_guard(guard),
         m_clock(clock),
         m_counters(counters),
         m_history(clock) {}
@@ -71,9 +74,6 @@
   // Handles a request from another host to step down a primary.
   void Handle(const peer::StepDownRequest& request);
   void Handle(const peer::CommitReport& report);
-  // All entries of the group's log up to here are acknowledged, as far as this
-  // host knows.
-  GroupPosition Acknowledged(const GroupId& group) const;
   // Records that the store has begun a new era. Claims of earlier ones may be
   // lost.
   void ObserveEra(StoreEra era);
@@ -96,6 +96,10 @@
   std::vector<std::pair<GroupId, EndpointId>> TakeConfirmedPrimaries();
 
  private:
+  // The first hosts in a group's order check for unfinished claims.
+  static constexpr Milliseconds kClaimCheckRankDelay{500};
+  static constexpr std::size_t kClaimCheckHosts = 3;
+
   enum class Stage {
     kIdle,
     kAskingOthers,  // whether another endpoint that says so is the primary
@@ -104,20 +108,11 @@
     kProbing,
     kSteppingDown,
     kPausing,
+    kAwaitingHold,  // until no host passes on commits any more
     kPromoting,
     kResuming  // waits until the target is primary, then resumes replicas
   };
-  struct Claim {
-    HostId holder;
-    std::uint64_t token = 0;
-    StoreTime claimed_at{0};
-    bool finished = false;
-    bool promoted = false;  // names a target; if finished, it was promoted
-    // The platform has answered a promotion under this token, so it refuses all
-    // promotions under older ones.
-    bool settled = false;
-    GroupPosition acknowledged;  // as known to the hosts that have held it
-    StoreEra era = 0;            // in which it was made
+  struct Claim : ClaimRow {
     RowVersion version;
   };
   struct Job {
@@ -183,6 +178,10 @@
     EndpointId known_primary;
     std::optional<Instant> check_claim_at;
     Instant next_promote_at{};
+    // Hosts were asked to hold the commits, and told that those of the target
+    // may be passed on.
+    bool commits_held = false;
+    bool target_allowed = false;
     bool promote_outstanding = false;
     // From the health reports of the traffic thread.
     Duration silent_for{};
@@ -233,23 +232,31 @@
                        const relay::AdminDone& event);
   void StartStepDown(const GroupId& group, Job* job);
   void StartPause(const GroupId& group, Job* job);
+  // Has all hosts hold the group's commits.
+  void HoldCommits(const GroupId& group, Job* job);
   void SendPause(const GroupId& group, const EndpointId& endpoint, Job* job);
+  // Chooses the target once all replicas are paused and all hosts hold the
+  // group's commits.
+  void MaybeChooseTarget(const GroupId& group, Job* job);
   void ChooseTarget(const GroupId& group, Job* job);
   // True if entries that are known to be acknowledged are not in the log up to
   // `received`, and an endpoint that has them may still come back.
   bool AwaitsCommits(const GroupId& group, Job* job,
                      const GroupPosition& received);
+  void StartPromoting(const GroupId& group, Job* job);
   void SendPromote(const GroupId& group, Job* job);
   // Resumes the paused replicas and delays the next attempt.
   void GiveUp(const GroupId& group, Job* job, const std::string& reason);
   void StartResume(const GroupId& group, Job* job);
   void Resume(const GroupId& group, Job* job);
   void CheckClaimAgain(Job* job);
+  void AllowTarget(const GroupId& group, Job* job);
   void Finish(const GroupId& group, Job* job);
   void TrackPrimary(const GroupId& group, Job* job, std::size_t host_rank);
 
   const HostId m_self;
   const ZoneId m_zone;
+  CommitGuard* const m_guard;
   const Clock* const m_clock;
   Counters* const m_counters;
   relay::DirectoryPtr m_directory;
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -70,6 +70,8 @@
   bool CountedSeatsChanged() const;
 
   limits::SeatView View();
+  // True once the rows have been read.
+  bool Loaded() const { return m_loaded; }
   // Returns the other hosts that hold a seat with a lease that has not expired.
   std::vector<FleetHost> Peers() const;
   // The address of one of these hosts; nullopt if it holds no seat.
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -35,8 +35,10 @@
                      "table_digest",
                      "table_copy",
                      "step_down_request",
-                     "commit_query",
-                     "commit_report"};
+                     "commit_hold",
+                     "commit_report",
+                     "lease_query",
+                     "lease_grant"};
 
 constexpr Json::ArrayIndex kMaxListItems = 2048;
 
@@ -97,6 +99,22 @@
   }
 }
 
+Json::Value ToJson(const CommitHold& hold) {
+  Json::Value out;
+  out["group"] = hold.group;
+  out["token"] = JsonUint(hold.token);
+  out["holder"] = hold.holder;
+  if (!hold.target.empty()) out["target"] = hold.target;
+  if (hold.released) out["released"] = true;
+  return out;
+}
+
+CommitHold ParseHold(const Json::Value& json) {
+  return {StringOr(json, "group"), UintOr(json, "token"),
+          StringOr(json, "holder"), StringOr(json, "target"),
+          BoolOr(json, "released")};
+}
+
 template <typename Kind>
 concept HasNonce = std::is_same_v<decltype(Kind::nonce), std::uint64_t>;
 
@@ -115,6 +133,9 @@
   if constexpr (requires { message.holder; }) {
     (*out)["holder"] = message.holder;
   }
+  if constexpr (requires { message.holds; }) {
+    for (const auto& hold : message.holds) (*out)["holds"].append(ToJson(hold));
+  }
 }
 template <HasNonce Kind>
 void DecodeBody(const Json::Value& json, Kind* message) {
@@ -133,6 +154,11 @@
   if constexpr (requires { message->holder; }) {
     message->holder = StringOr(json, "holder");
   }
+  if constexpr (requires { message->holds; }) {
+    for (const auto& hold : json["holds"]) {
+      message->holds.push_back(ParseHold(hold));
+    }
+  }
 }
 
 void EncodeBody(const ConfigFetch&, Json::Value*) {}
@@ -238,20 +264,34 @@
   *message = {StringOr(json, "group"), StringOr(json, "endpoint"),
               UintOr(json, "term")};
 }
-void EncodeBody(const CommitQuery& message, Json::Value* out) {
-  (*out)["group"] = message.group;
+void EncodeBody(const CommitHold& message, Json::Value* out) {
+  *out = ToJson(message);
 }
-void DecodeBody(const Json::Value& json, CommitQuery* message) {
-  message->group = StringOr(json, "group");
+void DecodeBody(const Json::Value& json, CommitHold* message) {
+  *message = ParseHold(json);
 }
 void EncodeBody(const CommitReport& message, Json::Value* out) {
   (*out)["group"] = message.group;
   (*out)["term"] = JsonUint(message.acknowledged.term);
   (*out)["position"] = JsonUint(message.acknowledged.position);
+  (*out)["token"] = JsonUint(message.token);
+  for (const auto& lease : message.leases) {
+    Json::Value entry;
+    entry["host"] = lease.host;
+    entry["left_ms"] = Json::Int64(lease.left.count());
+    (*out)["leases"].append(std::move(entry));
+  }
 }
 void DecodeBody(const Json::Value& json, CommitReport* message) {
   *message = {StringOr(json, "group"),
-              {UintOr(json, "term"), UintOr(json, "position")}};
+              {UintOr(json, "term"), UintOr(json, "position")},
+              UintOr(json, "token"),
+              {}};
+  for (const auto& lease : json["leases"]) {
+    message->leases.push_back(
+        {StringOr(lease, "host"),
+         Milliseconds(static_cast<std::int64_t>(UintOr(lease, "left_ms")))});
+  }
 }
 // Row values are arbitrary bytes, so they are encoded as base64url.
 void EncodeBody(const TableCopy& message, Json::Value* out) {
@@ -305,8 +345,8 @@
 }
 
 bool HasInvalidList(const Json::Value& body) {
-  for (const auto* list :
-       {"members", "groups", "settled", "seats", "tables", "rows"}) {
+  for (const auto* list : {"members", "groups", "settled", "seats", "tables",
+                           "rows", "holds", "leases"}) {
     if (body.isMember(list) &&
         (!body[list].isArray() || body[list].size() > kMaxListItems)) {
       return true;
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -155,14 +155,41 @@
   Term term = 0;
 };
 
-// Asks up to which position the receiver knows the group's log to be
-// acknowledged. The sender replaces the group's primary.
-struct CommitQuery {
+// Asks the receiver to pass on no commits of the group: its primary is being
+// replaced under the claim with this token.
+struct CommitHold {
   GroupId group;
+  std::uint64_t token = 0;
+  HostId holder;  // of the claim
+  // The platform has accepted the promotion of this endpoint, whose commits are
+  // passed on; empty: none yet.
+  EndpointId target;
+  // The claim has ended without a promotion.
+  bool released = false;
+};
+// A commit lease that the sender granted and that has not ended yet.
+struct GrantedLease {
+  HostId host;
+  Milliseconds left{0};
 };
+// The sender passes on no commits of the group until the hold with this token
+// ends. All entries up to `acknowledged` are acknowledged, as far as it knows.
 struct CommitReport {
   GroupId group;
   GroupPosition acknowledged;
+  std::uint64_t token = 0;
+  std::vector<GrantedLease> leases;
+};
+
+// Asks for a commit lease. Without one, the sender passes on no commits.
+struct LeaseQuery {
+  std::uint64_t nonce = 0;
+};
+// Grants it, counted from when the query was sent, and names the holds that the
+// sender knows.
+struct LeaseGrant {
+  std::uint64_t nonce = 0;
+  std::vector<CommitHold> holds;
 };
 
 using Message =
@@ -171,8 +198,8 @@
                  ConfigFetch, ConfigBody, ConfigPrepare, ConfigPrepared,
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall,
-                 TableDigest, TableCopy, StepDownRequest, CommitQuery,
-                 CommitReport>;
+                 TableDigest, TableCopy, StepDownRequest, CommitHold,
+                 CommitReport, LeaseQuery, LeaseGrant>;
 
 struct Envelope {
   HostId from;
--- /dev/null
+++ b/Source/Relay/commit_risk.cc
@@ -0,0 +1,95 @@
+// Relay: commits that a change of primary may discard are not passed on.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Common/names.h"
+#include "Relay/relay_core.h"
+
+namespace tiller::relay {
+namespace {
+
+constexpr char kRefusedText[] =
+    "primary may have been replaced, retry after 500 ms";
+
+}  // namespace
+
+// - A promotion discards commits that its target lacks when it takes effect.
+//   The host that replaces the primary asks for a hold before that.
+// - A commit at a primary in a zone that is cut off may have been acknowledged
+//   by a replica in the zone alone. Hosts outside do not know of one that has
+//   just started, and leave out one that has been missing for long.
+// - A host that asked for no hold here, since the zone was cut off, may have
+//   called a promotion that takes effect only after the primary has answered
+//   again.
+RelayCore::CommitRisk RelayCore::RiskOfCommit(const GroupId& group) const {
+  const auto found = m_directory->groups.find(group);
+  if (found == m_directory->groups.end() || !found->second.synchronous) {
+    return CommitRisk::kNone;
+  }
+  const auto now = Now();
+  const auto state = m_groups.find(group);
+  if (state != m_groups.end()) {
+    const auto& observed = state->second;
+    if (observed.hold.active && observed.hold.reported) {
+      return CommitRisk::kHeld;
+    }
+    if (observed.silent_for >= kReplaceableAfter ||
+        now < observed.primary_uncertain_until) {
+      return CommitRisk::kPrimaryUncertain;
+    }
+  }
+  if (now >= m_commits_until) return CommitRisk::kNoLease;
+  if (m_isolated && m_zone_contact.SilentFor(now) > Duration{}) {
+    return CommitRisk::kZoneIsolated;
+  }
+  if (!m_isolated && now >= m_primary_uncertain_until) return CommitRisk::kNone;
+  const bool in_own_zone =
+      !found->second.primary.empty() && !InOtherZone(found->second.primary);
+  if (!in_own_zone) return CommitRisk::kNone;
+  return m_isolated ? CommitRisk::kZoneIsolated : CommitRisk::kPrimaryUncertain;
+}
+
+void RelayCore::LogRisk(const GroupId& group) {
+  const auto risk = NameOf(kCommitRiskNames, RiskOfCommit(group));
+  auto& logged = m_groups[group].logged_risk;
+  if (logged.empty()) logged = NameOf(kCommitRiskNames, CommitRisk::kNone);
+  if (risk == logged) return;
+  logged = risk;
+  log::Event(log::Channel::kFailover, log::Level::kInfo, "commit_risk",
+             {{"group", group}, {"risk", std::string(risk)}});
+}
+
+void RelayCore::MarkInDoubt(const std::string& request, const GroupId& group,
+                            CommitRisk risk, StatementResult* answer) {
+  const std::string name(NameOf(kCommitRiskNames, risk));
+  m_counters->Add("in_doubt_" + name);
+  log::Event(log::Channel::kTraffic, log::Level::kInfo, "commit_in_doubt",
+             {{"request", request},
+              {"group", group},
+              {"position", answer->position ? TextOf(*answer->position) : ""},
+              {"reason", name}});
+  answer->refusal = Refusal::kInDoubt;
+  answer->text = "primary may have been replaced, the commit may be lost";
+}
+
+void RelayCore::AnswerCommit(Session* session, const GroupId& group,
+                             StatementResult answer) {
+  const auto risk = RiskOfCommit(group);
+  if (risk != CommitRisk::kNone) {
+    MarkInDoubt(session->request->id, group, risk, &answer);
+  }
+  FinishRequest(session, std::move(answer));
+}
+
+void RelayCore::RefuseCommit(Session* session, CommitRisk risk) {
+  m_counters->Add("refused_" + std::string(NameOf(kCommitRiskNames, risk)));
+  if (session->state == TxState::kOpen) {
+    return RefuseInTransaction(session, Refusal::kAborted,
+                               "primary may have been replaced, transaction "
+                               "was rolled back");
+  }
+  Refuse(session, Refusal::kBusy, kRefusedText);
+}
+
+}  // namespace tiller::relay
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -162,20 +162,26 @@
   }
   for (const auto& [name, group] : m_directory->groups) {
     m_groups[name].staleness = staleness[name];
-    HandlePrimaryChange(old, group);
+    HandlePrimaryChange(group);
     DispatchWaiting(name);
   }
 }
 
 // Resets what was observed of the old primary if the group has a new one.
-void RelayCore::HandlePrimaryChange(const DirectoryPtr& old,
-                                    const Group& group) {
+void RelayCore::HandlePrimaryChange(const Group& group) {
   auto& state = m_groups[group.name];
   if (group.primary != state.deposed) state.deposed.clear();
-  if (old == nullptr) return;
-  const auto before = old->groups.find(group.name);
-  if (before == old->groups.end()) return;
-  if (before->second.primary == group.primary) return;
+  if (group.primary != state.listed_primary) {
+    log::Event(log::Channel::kFailover, log::Level::kInfo, "primary_changed",
+               {{"group", group.name},
+                {"primary", group.primary},
+                {"previous", state.listed_primary}});
+    state.listed_primary = group.primary;
+  }
+  EndHoldIfTargetLeads(group.name);
+  // A primary that is listed again after its row was missing is the old one.
+  if (group.primary.empty() || group.primary == state.last_primary) return;
+  state.last_primary = group.primary;
   state.silent_for = {};
   state.primary_uncertain_until = {};
 }
@@ -247,6 +253,10 @@
   for (const auto& [name, group] : m_directory->groups) DispatchWaiting(name);
   TrimIdle();
   CheckIsolation();
+  for (const auto& [name, group] : m_directory->groups) {
+    ReportHold(name);
+    LogRisk(name);
+  }
   ProbePrimaries();
   ReportPrimaries();
   CheckReachability();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -4,9 +4,11 @@
 // does no I/O.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -68,6 +70,10 @@
   void On(const ShareReceived& event);
   void On(const AdminRequest& event);
   void On(const EndpointSilence& event);
+  void On(const HoldCommits& event);
+  void On(const CommitLeaseChanged& event) {
+    m_commits_until = event.valid_until;
+  }
   void On(const DrainStarted& event);
   void On(const TimerFired& event);
 
@@ -169,14 +175,36 @@
   Duration IsolationTimeout() const;
   void CheckIsolation();
   void ProbeOtherZones();
-  // True if a commit of the group may be rolled back by hosts that this one
-  // does not hear of.
-  bool MayLoseCommits(const GroupId& group) const;
+
+  // ---- commits while primaries are replaced (commit_hold.cc)
+  // Why a commit of the group may be rolled back.
+  enum class CommitRisk {
+    kNone,
+    kHeld,
+    kNoLease,
+    kPrimaryUncertain,
+    kZoneIsolated
+  };
+  static constexpr std::array<std::string_view, 5> kCommitRiskNames = {
+      "none", "commits_held", "no_commit_lease", "primary_uncertain",
+      "zone_isolated"};
+  CommitRisk RiskOfCommit(const GroupId& group) const;
+  void LogRisk(const GroupId& group);
+  void AnswerCommit(Session* session, const GroupId& group,
+                    StatementResult answer);
+  void MarkInDoubt(const std::string& request, const GroupId& group,
+                   CommitRisk risk, StatementResult* answer);
   // Precondition: the statement has not been sent.
-  void RefuseUncertainWrite(Session* session);
+  void RefuseCommit(Session* session, CommitRisk risk);
+  // True if a hold allows no new commits of the group.
+  bool IsHeld(const GroupId& group) const;
+  bool HasCommitInProgress(const GroupId& group);
+  // Reports a hold once the commits in progress are answered or overdue.
+  void ReportHold(const GroupId& group);
+  void EndHoldIfTargetLeads(const GroupId& group);
 
   // ---- periodic work and look-ups (relay_core.cc)
-  void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
+  void HandlePrimaryChange(const Group& group);
   void ExpireSteps();
   void ExpireRequests();
   void ExpireIdleTransactions();
@@ -238,6 +266,8 @@
   Instant m_last_tick{};
   Instant m_last_contact_probe{};
   Instant m_last_write_sent{};
+  // Until when this host may pass on commits; see CommitLeaseChanged.
+  Instant m_commits_until = Instant::max();
   std::vector<Action> m_actions;
 };
 
--- a/Source/Relay/relay_messages.h
+++ b/Source/Relay/relay_messages.h
@@ -78,6 +78,19 @@
   EndpointId endpoint;
   Duration silent_for{};
 };
+// The primary of the group is being replaced under the claim with this token.
+// Commits are passed on again when `released` is set, or when the directory
+// names `target` as the primary.
+struct HoldCommits {
+  GroupId group;
+  std::uint64_t token = 0;
+  EndpointId target;
+  bool released = false;
+};
+// Commits are passed on until then.
+struct CommitLeaseChanged {
+  Instant valid_until;
+};
 // The process is being stopped.
 struct DrainStarted {
   // Open transactions may go on for this long.
@@ -91,7 +104,8 @@
     std::variant<SessionOpened, StatementReceived, SessionClosed,
                  ConnectionOpened, ConnectionRefused, ConnectionLost,
                  StatementDone, DirectoryChanged, SeatsChanged, ShareReceived,
-                 AdminRequest, EndpointSilence, DrainStarted, TimerFired>;
+                 AdminRequest, EndpointSilence, HoldCommits, CommitLeaseChanged,
+                 DrainStarted, TimerFired>;
 // Events that the shared pool handles.
 using PoolEvent =
     std::variant<PoolSessionOpened, StatementReceived, SessionClosed,
@@ -162,6 +176,14 @@
   GroupPosition acknowledged;
 };
 
+// No commit of the group is passed on from now on. All entries up to
+// `acknowledged` are acknowledged, as far as this host has seen.
+struct CommitsHeld {
+  GroupId group;
+  std::uint64_t token = 0;  // as in HoldCommits
+  GroupPosition acknowledged;
+};
+
 // Whether this host is cut off from most primaries. While it is, the load
 // balancer should send callers to other hosts.
 struct Reachability {
@@ -169,9 +191,10 @@
 };
 
 // Actions that the relay core returns.
-using Action = std::variant<AcceptSession, RejectSession, Reply, CloseSession,
-                            OpenConnection, CloseConnection, SendStatement,
-                            SendShare, AdminDone, PrimaryHealth, Reachability>;
+using Action =
+    std::variant<AcceptSession, RejectSession, Reply, CloseSession,
+                 OpenConnection, CloseConnection, SendStatement, SendShare,
+                 AdminDone, PrimaryHealth, CommitsHeld, Reachability>;
 // Actions that the shared pool returns.
 using PoolAction = std::variant<AcceptSession, RejectSession, Reply,
                                 CloseSession, OpenConnection, CloseConnection,
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "Relay/endpoint_health.h"
 #include "Relay/position_watermarks.h"
@@ -136,13 +137,23 @@
   Instant idle_since;
 };
 
-// What this host has observed of a group.
 // Other hosts may replace a primary that has been silent for this long.
 inline constexpr Milliseconds kReplaceableAfter{600};
 // A promotion has taken effect this long after it was called.
 inline constexpr Milliseconds kPromotionTime{1'500};
 
+// What this host has observed of a group.
 struct GroupState {
+  // The newest hold of commits; see HoldCommits.
+  struct Hold {
+    std::uint64_t token = 0;
+    EndpointId target;
+    bool active = false;
+    Instant since{};
+    // Commits that were sent before are answered, or no longer passed on.
+    bool reported = false;
+  };
+
   PositionWatermarks watermarks;
   Term newest_term = 0;
   // The newest position that an endpoint has reported. Its entry may not be
@@ -159,6 +170,11 @@
   // Nothing is sent to the primary until then, because a shared pool reported
   // that it does not answer.
   Instant held_until{};
+  Hold hold;
+  // The primary that the directory names, and the last one that it named.
+  EndpointId listed_primary;
+  EndpointId last_primary;
+  std::string_view logged_risk;  // of its commits
   // The primary has answered again after a silence in which another host may
   // have replaced it. A promotion has taken effect by then.
   Instant primary_uncertain_until{};
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -65,9 +65,19 @@
 
 bool RelayCore::Dispatch(Session* session) {
   auto& request = *session->request;
-  if (Commits(*session) && MayLoseCommits(session->route.group)) {
-    RefuseUncertainWrite(session);
-    return true;
+  if (Commits(*session)) {
+    const auto& group = session->route.group;
+    auto risk = RiskOfCommit(group);
+    if (risk == CommitRisk::kNone && IsHeld(group)) risk = CommitRisk::kHeld;
+    // The group's next primary can run it, unless a transaction ends with the
+    // old one.
+    if (risk == CommitRisk::kHeld && session->state != TxState::kOpen) {
+      return false;
+    }
+    if (risk != CommitRisk::kNone) {
+      RefuseCommit(session, risk);
+      return true;
+    }
   }
   if (session->pinned != 0) {
     auto* connection = FindConnection(session->pinned);
@@ -205,6 +215,12 @@
                 {plain ? Verb::kBegin : Verb::kBeginRead, "", "", ""},
                 kSetupStepTimeout);
   }
+  // The hold began while the connection was being set up.
+  if (Commits(*session) && IsHeld(session->route.group)) {
+    session->request->phase = Phase::kWaitForConnection;
+    session->request->connection = 0;
+    return Release(connection);
+  }
   SendUserStatement(connection, session);
 }
 
@@ -283,24 +299,23 @@
        {"endpoint", connection->endpoint},
        {"verb", std::string(NameOf(kVerbNames, verb))},
        {"attempts", std::to_string(request.attempts + 1)},
+       {"position", result.position ? TextOf(*result.position) : ""},
        {"wait_ms", log::MillisecondsText(request.dispatched - request.arrived)},
        {"align_ms",
         log::MillisecondsText(request.forwarded - request.dispatched)},
        {"run_ms", log::MillisecondsText(Now() - request.forwarded)}});
   auto answer = result;
-  if (committed && MayLoseCommits(connection->group)) {
-    m_counters->Add(m_isolated ? "in_doubt_zone_isolated"
-                               : "in_doubt_primary_uncertain");
-    answer.refusal = Refusal::kInDoubt;
-    answer.text = "primary may have been replaced, the commit may be lost";
-  }
+  const auto finish = [&, group_id = connection->group](StatementResult done) {
+    if (committed) return AnswerCommit(session, group_id, std::move(done));
+    FinishRequest(session, std::move(done));
+  };
   if (verb == Verb::kCommit) {
     connection->in_transaction = false;
     connection->options_in_transaction = false;
     session->state = TxState::kIdle;
     session->pinned = 0;
     answer.state = TxState::kIdle;
-    FinishRequest(session, std::move(answer));
+    finish(std::move(answer));
     return Release(connection);
   }
   if (session->state == TxState::kOpen) {
@@ -313,7 +328,7 @@
     return FinishRequest(session, std::move(answer));
   }
   answer.state = TxState::kIdle;
-  FinishRequest(session, std::move(answer));
+  finish(std::move(answer));
   Release(connection);
 }
 
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -22,8 +22,6 @@
 constexpr Milliseconds kMinIsolationTimeout{200};
 constexpr Milliseconds kMaxIsolationTimeout{600};
 constexpr int kIsolationResponses = 4;
-constexpr char kRefusedText[] =
-    "primary may have been replaced, retry after 500 ms";
 // Ticks come every few milliseconds. After a longer gap the process was
 // suspended, and answers are still to be read.
 constexpr Milliseconds kMaxTickGap{100};
@@ -101,37 +99,4 @@
   }
 }
 
-// A commit at a primary in a zone that is cut off may have been acknowledged by
-// a replica in the zone alone. Hosts outside do not know of one that has just
-// started, and leave out one that has been missing for long, so they may
-// replace the primary and roll the commit back. A promotion that was called
-// while the primary was silent takes effect only after it has answered again.
-bool RelayCore::MayLoseCommits(const GroupId& group) const {
-  const auto found = m_directory->groups.find(group);
-  if (found == m_directory->groups.end() || !found->second.synchronous) {
-    return false;
-  }
-  const auto now = Now();
-  const auto state = m_groups.find(group);
-  if (state != m_groups.end() &&
-      (state->second.silent_for >= kReplaceableAfter ||
-       now < state->second.primary_uncertain_until)) {
-    return true;
-  }
-  if (m_isolated && m_zone_contact.SilentFor(now) > Duration{}) return true;
-  if (!m_isolated && now >= m_primary_uncertain_until) return false;
-  return !found->second.primary.empty() && !InOtherZone(found->second.primary);
-}
-
-void RelayCore::RefuseUncertainWrite(Session* session) {
-  m_counters->Add(m_isolated ? "refused_zone_isolated"
-                             : "refused_primary_uncertain");
-  if (session->state == TxState::kOpen) {
-    return RefuseInTransaction(session, Refusal::kAborted,
-                               "primary may have been replaced, transaction "
-                               "was rolled back");
-  }
-  Refuse(session, Refusal::kBusy, kRefusedText);
-}
-
 }  // namespace tiller::relay
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -125,7 +125,10 @@
 TEST(Failover, RemovingGroupEndsItsFailover) {
   ManualClock clock;
   Counters counters;
-  PrimaryFailover failover("h1", "z1", &clock, &counters);
+  SeededRandom random(1);
+  SeatTable seats({"h1", "h1:9", "h1:8", "z1"}, &clock, &random);
+  CommitGuard guard({"h1", "h1:9", "z1"}, &seats, &clock, &random, &counters);
+  PrimaryFailover failover("h1", "z1", &guard, &clock, &counters);
   CallId next_call = 1;
   relay::Directory directory;
   directory.groups["g"] = {"g", 10, "p"};
@@ -139,7 +142,7 @@
   failover.Tick({{"g", 0}});
   failover.Tick({{"g", 0}});
   failover.Handle(
-      TableRead{kPrimaryTable, StoreStatus::kDone, {}, {1, 1}, StoreTime(1)});
+      TableRead{kClaimTable, StoreStatus::kDone, {}, {1, 1}, StoreTime(1)});
   CallId claim = 0;
   for (const auto& action : failover.TakeActions(&next_call)) {
     if (const auto* write = std::get_if<WriteRow>(&action)) claim = write->call;
@@ -441,6 +444,45 @@
   EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
 }
 
+// The zone of a primary was cut off until the rows of its endpoints had lapsed.
+// A host outside promoted another endpoint just after the zone had returned.
+// The old primary was listed again before the promotion took effect, and hosts
+// passed on commits that a replica of its zone had received (review/2, seeds
+// 222 and 314).
+TEST(Failover, PrimaryListedAgainBeforeThePromotionLosesNoCommits) {
+  int promotions = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    FleetSimulation simulation(9, 4, seed);
+    auto& started = simulation.Endpoints().at("e3");
+    started.listed = false;
+    started.replication_cut = true;
+    simulation.WriteEndpointRow("e3");
+    simulation.Run(seconds(20));
+    simulation.CutZone(0);
+    simulation.Endpoints().at("e0").listed = false;
+    simulation.WriteEndpointRow("e0");
+    const auto promotions_before = simulation.promotion_calls;
+    while (simulation.promotion_calls == promotions_before) {
+      simulation.Run(Milliseconds(25));
+    }
+    simulation.ConnectZone();
+    started.replication_cut = false;
+    simulation.Run(Milliseconds(100));
+    for (const auto* id : {"e0", "e3"}) {
+      simulation.Endpoints().at(id).listed = true;
+      simulation.WriteEndpointRow(id);
+    }
+    simulation.Run(seconds(20));
+    promotions += simulation.promotions;
+    EXPECT_TRUE(simulation.lost_commits.empty())
+        << "seed " << seed << ": " << simulation.lost_commits.front() << "\n"
+        << simulation.TraceText();
+    EXPECT_TRUE(simulation.AllReplicasResumed()) << simulation.TraceText();
+    EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
+  }
+  EXPECT_GE(promotions, 40);
+}
+
 // A row of an endpoint that does not run named itself a replica. Each change of
 // primary waited for its answer and was given up.
 TEST(Failover, StrayRowOfAReplicaDoesNotPreventAChangeOfPrimary) {
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -42,8 +42,10 @@
                 20,
                 3},
       StepDownRequest{"g", "e", 28},
-      CommitQuery{"g"},
-      CommitReport{"g", {29, 30}}};
+      CommitHold{"g", 7, "h1", "e2", false},
+      LeaseQuery{4},
+      LeaseGrant{4, {{"g", 7, "h1", "", true}}},
+      CommitReport{"g", {29, 30}, 31, {{"h2", Milliseconds(40)}}}};
 }
 
 TEST(PeerMessages, RoundTripThroughJsonRpc) {
--- /dev/null
+++ b/Source/UnitTests/Relay/commit_hold_test.cc
@@ -0,0 +1,123 @@
+// Tests of the relay: commits while the primary of their group is replaced, and
+// those that a zone which is cut off may have acknowledged by itself.
+#include <gtest/gtest.h>
+
+#include "UnitTests/Support/relay_bench.h"
+
+namespace tiller::relay {
+namespace {
+
+class CommitHold : public testing::Test {
+ protected:
+  CommitHold() : m_directory(m_bench.MakeDirectory()) {
+    m_directory.groups.at("g").synchronous = true;
+    m_bench.Publish(m_directory);
+  }
+  // Lists `id` as the primary; empty: none.
+  void ListPrimary(const EndpointId& id) {
+    m_directory.groups.at("g").primary = id;
+    for (auto& [name, endpoint] : m_directory.endpoints) {
+      endpoint.primary = name == id;
+    }
+    m_bench.Publish(m_directory);
+  }
+  SessionId SubmitWrite() {
+    const auto session = m_bench.Open("strict");
+    m_bench.Submit(session, Verb::kWrite, "WRITE a 1");
+    return session;
+  }
+  bool WriteIsSent(const EndpointId& endpoint) {
+    for (const auto& pending : m_bench.PendingStatements()) {
+      if (pending.endpoint != endpoint) continue;
+      if (pending.statement.statement.verb == Verb::kWrite) return true;
+    }
+    return false;
+  }
+
+  RelayBench m_bench;
+  Directory m_directory;
+};
+
+// The row of the old primary was missing for a while and came back while the
+// promotion of another endpoint was pending. Hosts sent what had waited to the
+// old primary and passed its commits on (issue 35).
+TEST_F(CommitHold, LastsWhileTheOldPrimaryIsListedAgain) {
+  ListPrimary("");
+  m_bench.Handle(HoldCommits{"g", 5, "", false});
+  const auto session = SubmitWrite();
+  ListPrimary("p");
+  m_bench.Tick(Milliseconds(20));
+  EXPECT_FALSE(WriteIsSent("p"));
+  m_bench.Handle(HoldCommits{"g", 5, "r1", false});
+  EXPECT_FALSE(WriteIsSent("p"));
+  ListPrimary("r1");
+  ASSERT_TRUE(WriteIsSent("r1"));
+  m_bench.CompleteNext("receipt");
+  const auto answer = m_bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->Ok());
+}
+
+// Two promotions are executed late, one after the other. The first target leads
+// for a while, and what it commits is discarded (KNOWN-RED 9).
+TEST_F(CommitHold, PassesOnNoCommitsOfAnotherTarget) {
+  m_bench.Handle(HoldCommits{"g", 5, "", false});
+  m_bench.Handle(HoldCommits{"g", 6, "r2", false});
+  SubmitWrite();
+  ListPrimary("r1");
+  m_bench.Tick(Milliseconds(20));
+  EXPECT_FALSE(WriteIsSent("r1"));
+  // What is left of the older claim changes nothing.
+  m_bench.Handle(HoldCommits{"g", 5, "r1", false});
+  m_bench.Handle(HoldCommits{"g", 5, "", true});
+  EXPECT_FALSE(WriteIsSent("r1"));
+  ListPrimary("r2");
+  EXPECT_TRUE(WriteIsSent("r2"));
+}
+
+TEST_F(CommitHold, ReleasedHoldSendsWhatWaited) {
+  m_bench.Handle(HoldCommits{"g", 5, "", false});
+  SubmitWrite();
+  EXPECT_FALSE(WriteIsSent("p"));
+  m_bench.Handle(HoldCommits{"g", 5, "", true});
+  EXPECT_TRUE(WriteIsSent("p"));
+}
+
+TEST_F(CommitHold, CommitsInProgressAreAnsweredBeforeItIsReported) {
+  const auto session = SubmitWrite();
+  m_bench.Handle(HoldCommits{"g", 5, "", false});
+  EXPECT_TRUE(m_bench.held.empty());
+  m_bench.CompleteNext("receipt", GroupPosition{1, 101});
+  EXPECT_TRUE(m_bench.TakeAnswer(session)->Ok());
+  m_bench.Tick(Milliseconds(20));
+  ASSERT_EQ(m_bench.held.size(), 1U);
+  EXPECT_EQ(m_bench.held[0].token, 5U);
+  EXPECT_EQ(m_bench.held[0].acknowledged, (GroupPosition{1, 101}));
+}
+
+TEST_F(CommitHold, CommitAnsweredAfterItsReportIsInDoubt) {
+  const auto session = SubmitWrite();
+  m_bench.Handle(HoldCommits{"g", 5, "", false});
+  m_bench.Tick(Milliseconds(120));
+  ASSERT_EQ(m_bench.held.size(), 1U);
+  m_bench.CompleteNext("receipt");
+  EXPECT_EQ(m_bench.TakeAnswer(session)->refusal, Refusal::kInDoubt);
+}
+
+// A host that no other host reaches can't be asked to hold commits (KNOWN-RED
+// 7).
+TEST_F(CommitHold, NoCommitsArePassedOnWithoutALease) {
+  const auto session = SubmitWrite();
+  m_bench.Handle(CommitLeaseChanged{m_bench.clock.Now() + Milliseconds(50)});
+  m_bench.clock.Advance(Milliseconds(50));
+  m_bench.CompleteNext("receipt");
+  EXPECT_EQ(m_bench.TakeAnswer(session)->refusal, Refusal::kInDoubt);
+  const auto refused = SubmitWrite();
+  EXPECT_EQ(m_bench.TakeAnswer(refused)->refusal, Refusal::kBusy);
+  m_bench.Handle(CommitLeaseChanged{m_bench.clock.Now() + Milliseconds(50)});
+  SubmitWrite();
+  EXPECT_TRUE(WriteIsSent("p"));
+}
+
+}  // namespace
+}  // namespace tiller::relay
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -16,6 +16,10 @@
 constexpr Milliseconds kPromoteAnswerLimit{500};
 constexpr char kGroup[] = "g";
 constexpr int kZones = 3;
+// Hosts of a zone that is cut off have noticed it after this time.
+constexpr Milliseconds kIsolationTime{500};
+// After their zone has returned, they hold the commits of its primaries.
+constexpr Milliseconds kUncertainTime{1'500};
 
 }  // namespace
 
@@ -83,6 +87,9 @@
       &m_codec, &clock, &random, &state.counters);
   state.directory.reset();
   state.acknowledged = {};
+  state.hold = {};
+  state.holds_commits = false;
+  state.commits_until = Instant::max();
 }
 
 void FleetSimulation::Restart(int host) {
@@ -115,6 +122,29 @@
   PutRow("endpoints", id, ToText(value));
 }
 
+int FleetSimulation::ZoneOf(const EndpointId& endpoint) {
+  const bool numbered = endpoint.size() == 2 && endpoint[0] == 'e';
+  return numbered ? (endpoint[1] - '0') % kZones : 0;
+}
+
+void FleetSimulation::CutZone(int zone) {
+  m_cut_zone = zone;
+  m_zone_is_cut = true;
+  m_zone_changed_at = clock.Now();
+  AddTrace("zone " + std::to_string(zone) + " is cut off");
+}
+
+void FleetSimulation::ConnectZone() {
+  m_zone_is_cut = false;
+  m_zone_changed_at = clock.Now();
+  AddTrace("zone is back");
+}
+
+bool FleetSimulation::IsCut(int zone, int other_zone) const {
+  return m_zone_is_cut && zone != other_zone &&
+         (zone == *m_cut_zone || other_zone == *m_cut_zone);
+}
+
 void FleetSimulation::RestartEndpoint(const EndpointId& id) {
   auto& endpoint = m_endpoints.at(id);
   endpoint.paused_below = 0;
@@ -210,7 +240,8 @@
 }
 
 bool FleetSimulation::ReachesStore(int host) const {
-  return !store_down && cut_off_from_store.count(host) == 0;
+  const bool in_cut_zone = m_zone_is_cut && ZoneOf(host) == *m_cut_zone;
+  return !store_down && cut_off_from_store.count(host) == 0 && !in_cut_zone;
 }
 
 void FleetSimulation::Deliver(int host, Event event,
@@ -340,12 +371,29 @@
       if (m_hosts[static_cast<std::size_t>(i)]->name + ":9" != peer->address) {
         continue;
       }
+      if (IsCut(ZoneOf(host), ZoneOf(i))) continue;
+      if (cut_off_from_hosts.count(host) + cut_off_from_hosts.count(i) > 0) {
+        continue;
+      }
       Deliver(i, PeerReceived{{state.name, state.name + ":9", peer->message}});
     }
   } else if (const auto* publish = std::get_if<PublishDirectory>(&action)) {
     state.directory = publish->directory;
+    EndHoldIfTargetLeads(&state);
   } else if (const auto* seats = std::get_if<relay::SeatsChanged>(&action)) {
     state.seats = seats->seats;
+  } else if (const auto* hold = std::get_if<relay::HoldCommits>(&action)) {
+    if (hold->token < state.hold.token) return;
+    if (hold->token > state.hold.token) state.holds_commits = true;
+    state.hold = *hold;
+    if (hold->released) state.holds_commits = false;
+    EndHoldIfTargetLeads(&state);
+    if (!state.holds_commits) return;
+    Deliver(host,
+            relay::CommitsHeld{hold->group, hold->token, state.acknowledged});
+  } else if (const auto* lease =
+                 std::get_if<relay::CommitLeaseChanged>(&action)) {
+    state.commits_until = lease->valid_until;
   }
 }
 
@@ -403,15 +451,39 @@
 // If the primary is partly unreachable, every second host cannot reach it.
 bool FleetSimulation::CannotReachPrimary(int host) const {
   return !m_endpoints.at(m_primary_id).alive ||
+         IsCut(ZoneOf(host), ZoneOf(m_primary_id)) ||
+         cut_off_from_primary.count(host) > 0 ||
          (primary_partly_unreachable && host % 2 == 1);
 }
 
+void FleetSimulation::EndHoldIfTargetLeads(Host* host) {
+  const auto& target = host->hold.target;
+  if (target.empty() || host->directory == nullptr) return;
+  if (host->directory->groups.at(kGroup).primary == target) {
+    host->holds_commits = false;
+  }
+}
+
+bool FleetSimulation::PassesOnCommits(int host) const {
+  const auto& state = *m_hosts[static_cast<std::size_t>(host)];
+  if (frozen.count(host) > 0 || state.directory == nullptr) return false;
+  if (state.directory->groups.at(kGroup).primary != m_primary_id) return false;
+  if (state.holds_commits || clock.Now() >= state.commits_until) return false;
+  if (!m_cut_zone || ZoneOf(host) != *m_cut_zone) return true;
+  const auto since = clock.Now() - m_zone_changed_at;
+  if (m_zone_is_cut) return since < kIsolationTime;
+  return ZoneOf(m_primary_id) != *m_cut_zone || since >= kUncertainTime;
+}
+
 void FleetSimulation::AcknowledgeTo(int host) {
   const auto& primary = m_endpoints.at(m_primary_id);
   const bool is_primary = primary.paused_below <= primary.term;
   if (!is_primary || writes_unanswered || CannotReachPrimary(host)) return;
-  m_hosts[static_cast<std::size_t>(host)]->acknowledged = {
-      primary.term, m_acknowledged_position};
+  const GroupPosition acknowledged{primary.term, m_acknowledged_position};
+  m_hosts[static_cast<std::size_t>(host)]->acknowledged = acknowledged;
+  if (!PassesOnCommits(host)) return;
+  if (acknowledged > m_passed_on) last_commit_at = clock.Now();
+  m_passed_on = std::max(m_passed_on, acknowledged);
 }
 
 // What the host's traffic reports of the endpoint that it takes for the
@@ -433,7 +505,9 @@
   }
   if (CannotReachPrimary(host) || writes_unanswered) {
     health.endpoint = m_primary_id;
-    health.silent_for = Milliseconds(700);
+    const bool is_cut = IsCut(ZoneOf(host), ZoneOf(m_primary_id));
+    health.silent_for =
+        is_cut ? clock.Now() - m_zone_changed_at : Duration(Milliseconds(700));
     return health;
   }
   if (used == m_primary_id) health.endpoint = used;  // it answers
@@ -462,6 +536,7 @@
   }
   const auto receive = [&](SimulatedEndpoint* endpoint) {
     if (!endpoint->alive || endpoint->replication_cut) return false;
+    if (endpoint->sent_across_cut) return false;
     if (endpoint->paused_below > endpoint->sent_term) return false;
     if (endpoint->sent_term < endpoint->term) return false;
     endpoint->term = endpoint->sent_term;
@@ -482,6 +557,8 @@
   ++primary_endpoint.position;
   for (auto& [id, endpoint] : m_endpoints) {
     if (id == m_primary_id || !endpoint.alive) continue;
+    endpoint.sent_across_cut = IsCut(ZoneOf(id), ZoneOf(m_primary_id));
+    if (endpoint.sent_across_cut) continue;
     endpoint.sent_term = primary_endpoint.term;
     endpoint.sent_position = primary_endpoint.position;
     // Some entries arrive immediately, others stay in flight.
@@ -501,6 +578,12 @@
                          std::to_string(m_acknowledged_position));
     m_acknowledged_position = promoted.position;
   }
+  if (promoted.position < m_passed_on.position) {
+    lost_commits.push_back(target + " holds " +
+                           std::to_string(promoted.position) + " of " +
+                           std::to_string(m_passed_on.position));
+    m_passed_on.position = promoted.position;
+  }
   const auto old = std::exchange(m_primary_id, target);
   Term newest = 0;
   for (const auto& [id, endpoint] : m_endpoints) {
@@ -533,6 +616,7 @@
            " (term " + std::to_string(endpoint.term) + ", position " +
            std::to_string(endpoint.position) + ")");
   if (is_primary && CannotReachPrimary(host)) return done;
+  if (IsCut(ZoneOf(host), ZoneOf(request.endpoint))) return done;
   done.answered = true;
   if (request.verb == relay::Verb::kContinue) endpoint.paused_below = 0;
   if (request.verb == relay::Verb::kPause && !is_primary &&
@@ -564,7 +648,9 @@
   if (call.fencing_token < m_newest_token) return PromoteStatus::kFenced;
   m_newest_token = call.fencing_token;
   const auto it = m_endpoints.find(call.endpoint);
-  if (it == m_endpoints.end() || !it->second.alive) {
+  const bool in_cut_zone =
+      m_zone_is_cut && ZoneOf(call.endpoint) == *m_cut_zone;
+  if (it == m_endpoints.end() || !it->second.alive || in_cut_zone) {
     return PromoteStatus::kFenced;
   }
   const bool stepped_down = it->second.paused_below > it->second.term;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -36,6 +36,7 @@
   Term paused_below = 0;
   std::uint64_t process_start_ms = 0;
   std::uint64_t report_number = 0;
+  bool sent_across_cut = false;  // to or from a zone that is cut off
   // Sent by the primary but not received yet; received in the next step.
   Term sent_term = 0;
   std::uint64_t sent_position = 0;
@@ -51,6 +52,11 @@
   void SetConfig(std::uint64_t version, std::size_t padding = 0);
   void TakeZoneOutOfService(const ZoneId& zone);
   void WriteEndpointRow(const EndpointId& id);
+  // Hosts and endpoints of the zone exchange nothing with those of others, nor
+  // with the store and the platform. Endpoints "e0", "e3" and so on are in zone
+  // 0, as are hosts 0 and 3.
+  void CutZone(int zone);
+  void ConnectZone();
   // The endpoint's process starts again with its log; a pause ends.
   void RestartEndpoint(const EndpointId& id);
   // Writes the row of an endpoint that does not run.
@@ -80,7 +86,9 @@
   std::set<int> cut_off_from_store;  // hosts that cannot reach the store
   // Hosts whose calls reach the store and get no answer, not even later.
   std::set<int> unanswered_by_store;
-  std::set<int> frozen;  // hosts that handle no events
+  std::set<int> cut_off_from_hosts;    // exchange nothing with other hosts
+  std::set<int> cut_off_from_primary;  // at the time
+  std::set<int> frozen;                // hosts that handle no events
   bool store_down = false;
   bool history_discarded = false;  // the store answers no feed
   // One in this many writes and promotions is executed but not answered; 0:
@@ -97,7 +105,12 @@
   bool primary_partly_unreachable = false;
   // The primary answers, but leaves writes unanswered.
   bool writes_unanswered = false;
+  // Commits that endpoints had acknowledged were lost.
   std::vector<std::string> violations;
+  // Commits that hosts had passed on to callers were lost.
+  std::vector<std::string> lost_commits;
+  // When a host last passed on a commit.
+  Instant last_commit_at{};
   int promotions = 0;
   // Calls of all hosts to the store.
   int store_calls = 0;
@@ -118,6 +131,9 @@
     int generation = 0;
     // The newest position whose acknowledgement the host has seen.
     GroupPosition acknowledged;
+    relay::HoldCommits hold;
+    bool holds_commits = false;
+    Instant commits_until = Instant::max();
   };
   struct Delivery {
     Instant due;
@@ -153,6 +169,12 @@
   void AdvanceGroup();
   void MakePrimary(const EndpointId& target);
   bool CannotReachPrimary(int host) const;
+  static int ZoneOf(int host) { return host % 3; }
+  static int ZoneOf(const EndpointId& endpoint);
+  bool IsCut(int zone, int other_zone) const;
+  // Whether the host may pass on the commits that it sees acknowledged.
+  bool PassesOnCommits(int host) const;
+  static void EndHoldIfTargetLeads(Host* host);
   relay::PrimaryHealth HealthSeenBy(int host) const;
   // Passes an acknowledged commit on to the host that sent it.
   void AcknowledgeTo(int host);
@@ -174,6 +196,11 @@
   std::map<EndpointId, SimulatedEndpoint> m_endpoints;
   EndpointId m_primary_id;
   std::uint64_t m_acknowledged_position = 0;
+  GroupPosition m_passed_on;
+  // The zone that is cut off, or was last, and since and until when.
+  std::optional<int> m_cut_zone;
+  bool m_zone_is_cut = false;
+  Instant m_zone_changed_at{};
   std::uint64_t m_newest_token = 0;
   std::map<std::uint64_t, HostId> m_token_holders;
   std::optional<std::pair<Instant, EndpointId>> m_pending_promotion;
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -117,6 +117,8 @@
     admin.push_back(*done);
   } else if (const auto* primary_health = std::get_if<PrimaryHealth>(&action)) {
     health.push_back(*primary_health);
+  } else if (const auto* hold = std::get_if<CommitsHeld>(&action)) {
+    held.push_back(*hold);
   } else if (const auto* reachability = std::get_if<Reachability>(&action)) {
     cut_off = reachability->cut_off;
   }
--- a/Source/UnitTests/Support/relay_bench.h
+++ b/Source/UnitTests/Support/relay_bench.h
@@ -77,6 +77,7 @@
   std::vector<SessionId> rejected;
   std::vector<AdminDone> admin;
   std::vector<PrimaryHealth> health;
+  std::vector<CommitsHeld> held;
   std::optional<bool> cut_off;
 
  private:
