A commit of a primary in the own zone waits for contact to another zone

Cause: the commit waited at the primary for a replica. One that had just started in the zone acknowledged it after the cut. The host notices a cut after 0.2 to 0.6 s, and it took the zone for connected until then. Hosts outside knew neither the replica nor the commit.

Evidence: the zone is cut off at 59.0 s, the statement is sent at 59.043 s, the commit is acknowledged and passed on at 59.306 s, before zone_isolated.

Change: if no endpoint of another zone has answered for 100 ms, the answer to a commit of a primary in the own zone waits for the next answer of one, which is requested when the commit is sent. Without it, the commit is in doubt.

Why it works: a commit is passed on only if the zone was connected at most 100 ms before. Then a replica that acknowledged it is listed, or started in that time.

Failed before: CommitInOwnZone.IsInDoubtWithoutContactToOtherZones and CommitInOwnZone.IsAnsweredOnceAnotherZoneAnswers; the commits were answered at once.

--- a/Source/Relay/commit_risk.cc
+++ b/Source/Relay/commit_risk.cc
@@ -9,6 +9,12 @@
 namespace tiller::relay {
 namespace {
 
+// The zone was connected at most this long before a commit is passed on. A
+// replica that starts in the zone may acknowledge commits soon after it has
+// been cut off.
+constexpr Milliseconds kContactAge{100};
+// A commit is in doubt if no endpoint of another zone answers for this long.
+constexpr Milliseconds kContactTimeout{600};
 constexpr char kRefusedText[] =
     "primary may have been replaced, retry after 500 ms";
 
@@ -73,15 +79,58 @@
   answer->text = "primary may have been replaced, the commit may be lost";
 }
 
+bool RelayCore::NeedsContact(const GroupId& group) const {
+  const auto found = m_directory->groups.find(group);
+  if (found == m_directory->groups.end() || !found->second.synchronous) {
+    return false;
+  }
+  const auto& primary = found->second.primary;
+  if (primary.empty() || InOtherZone(primary)) return false;
+  const auto last_answer = m_zone_contact.LastAnswer();
+  if (last_answer == Instant{} || Now() - last_answer <= kContactAge) {
+    return false;
+  }
+  return std::any_of(m_directory->endpoints.begin(),
+                     m_directory->endpoints.end(),
+                     [&](const auto& item) { return InOtherZone(item.first); });
+}
+
 void RelayCore::AnswerCommit(Session* session, const GroupId& group,
                              StatementResult answer) {
+  auto& request = *session->request;
   const auto risk = RiskOfCommit(group);
+  if (risk == CommitRisk::kNone && NeedsContact(group)) {
+    m_counters->Add("commits_unconfirmed");
+    m_unconfirmed_commits.push_back(
+        {session->id, request.id, group, std::move(answer), Now()});
+    request.connection = 0;
+    return RequestContact();
+  }
   if (risk != CommitRisk::kNone) {
-    MarkInDoubt(session->request->id, group, risk, &answer);
+    MarkInDoubt(request.id, group, risk, &answer);
   }
   FinishRequest(session, std::move(answer));
 }
 
+void RelayCore::ConfirmCommits(bool contact) {
+  for (auto& commit : std::exchange(m_unconfirmed_commits, {})) {
+    auto* session = FindSession(commit.session);
+    if (session == nullptr || !session->request) continue;
+    if (session->request->id != commit.request) continue;
+    auto risk = RiskOfCommit(commit.group);
+    const bool overdue = Now() - commit.since >= kContactTimeout;
+    if (risk == CommitRisk::kNone && !contact && !overdue) {
+      m_unconfirmed_commits.push_back(std::move(commit));
+      continue;
+    }
+    if (risk == CommitRisk::kNone && !contact) risk = CommitRisk::kZoneIsolated;
+    if (risk != CommitRisk::kNone) {
+      MarkInDoubt(commit.request, commit.group, risk, &commit.answer);
+    }
+    FinishRequest(session, std::move(commit.answer));
+  }
+}
+
 void RelayCore::RefuseCommit(Session* session, CommitRisk risk) {
   m_counters->Add("refused_" + std::string(NameOf(kCommitRiskNames, risk)));
   if (session->state == TxState::kOpen) {
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -257,6 +257,7 @@
     ReportHold(name);
     LogRisk(name);
   }
+  ConfirmCommits(false);
   ProbePrimaries();
   ReportPrimaries();
   CheckReachability();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -175,6 +175,8 @@
   Duration IsolationTimeout() const;
   void CheckIsolation();
   void ProbeOtherZones();
+  // Probes them unless that was done a moment ago.
+  void RequestContact();
 
   // ---- commits while primaries are replaced (commit_hold.cc)
   // Why a commit of the group may be rolled back.
@@ -190,10 +192,15 @@
       "zone_isolated"};
   CommitRisk RiskOfCommit(const GroupId& group) const;
   void LogRisk(const GroupId& group);
+  // Answers a commit. One of a primary in this host's zone waits until the host
+  // knows that the zone was not cut off when it was acknowledged.
   void AnswerCommit(Session* session, const GroupId& group,
                     StatementResult answer);
   void MarkInDoubt(const std::string& request, const GroupId& group,
                    CommitRisk risk, StatementResult* answer);
+  bool NeedsContact(const GroupId& group) const;
+  // `contact`: an endpoint of another zone has just answered.
+  void ConfirmCommits(bool contact);
   // Precondition: the statement has not been sent.
   void RefuseCommit(Session* session, CommitRisk risk);
   // True if a hold allows no new commits of the group.
@@ -266,6 +273,14 @@
   Instant m_last_tick{};
   Instant m_last_contact_probe{};
   Instant m_last_write_sent{};
+  struct UnconfirmedCommit {
+    SessionId session = 0;
+    std::string request;
+    GroupId group;
+    StatementResult answer;
+    Instant since;
+  };
+  std::vector<UnconfirmedCommit> m_unconfirmed_commits;
   // Until when this host may pass on commits; see CommitLeaseChanged.
   Instant m_commits_until = Instant::max();
   std::vector<Action> m_actions;
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -236,7 +236,10 @@
   auto& request = *session->request;
   request.sent = true;
   request.forwarded = Now();
-  if (Commits(*session)) m_last_write_sent = Now();
+  if (Commits(*session)) {
+    m_last_write_sent = Now();
+    if (NeedsContact(connection->group)) RequestContact();
+  }
   const bool read = !IsWrite(*session, request.statement) &&
                     request.statement.verb != Verb::kCommit;
   Duration limit = request.deadline - Now();
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -41,6 +41,7 @@
                         connection.state == ConnectionState::kOpening);
   if (by_pool || !InOtherZone(connection.endpoint)) return;
   m_zone_contact.RecordAnswer(Now());
+  ConfirmCommits(true);
 }
 
 Duration RelayCore::IsolationTimeout() const {
@@ -72,9 +73,12 @@
   const bool writes_unchecked =
       m_last_write_sent > m_zone_contact.LastAnswer() &&
       now - m_zone_contact.LastAnswer() >= kContactProbeAfter;
-  if (!unanswered && !writes_unchecked) return;
-  if (now - m_last_contact_probe < kContactProbeInterval) return;
-  m_last_contact_probe = now;
+  if (unanswered || writes_unchecked) RequestContact();
+}
+
+void RelayCore::RequestContact() {
+  if (Now() - m_last_contact_probe < kContactProbeInterval) return;
+  m_last_contact_probe = Now();
   ProbeOtherZones();
 }
 
--- a/Source/UnitTests/Relay/commit_hold_test.cc
+++ b/Source/UnitTests/Relay/commit_hold_test.cc
@@ -119,5 +119,63 @@
   EXPECT_TRUE(WriteIsSent("p"));
 }
 
+// A relay in zone z1 with the primary, and with replicas elsewhere that have
+// answered it some time ago.
+class CommitInOwnZone : public CommitHold {
+ protected:
+  CommitInOwnZone() {
+    for (const auto* replica : {"r1", "r2"}) {
+      m_bench.Handle(AdminRequest{1, replica, Verb::kStatus, 0});
+      m_bench.CompleteNext();
+    }
+    // One connection to the primary is open.
+    m_bench.Submit(m_bench.Open("strict"), Verb::kRead, "READ a");
+    while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+    m_bench.unresponsive = true;
+    m_bench.clock.Advance(Milliseconds(160));
+  }
+  // Answers what is pending at the endpoints in `zone`.
+  void AnswerZone(const ZoneId& zone) {
+    const auto pending = std::exchange(m_bench.PendingStatements(), {});
+    for (const auto& item : pending) {
+      if (m_directory.endpoints.at(item.endpoint).zone != zone) {
+        m_bench.PendingStatements().push_back(item);
+        continue;
+      }
+      StatementResult result;
+      result.text = "receipt";
+      result.position = m_bench.log_position;
+      m_bench.Handle(StatementDone{item.statement.connection, result});
+    }
+  }
+};
+
+// A replica that had started in the zone just after the cut acknowledged a
+// commit before the host had noticed that the zone was cut off (review/2 on
+// lfsc-quotes, seed 221).
+TEST_F(CommitInOwnZone, IsInDoubtWithoutContactToOtherZones) {
+  const auto session = SubmitWrite();
+  AnswerZone("z1");
+  const auto early = m_bench.TakeAnswer(session);
+  ASSERT_FALSE(early) << early->text;
+  for (int i = 0; i < 31; ++i) {
+    m_bench.Tick(Milliseconds(20));
+    AnswerZone("z1");
+  }
+  const auto answer = m_bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kInDoubt);
+}
+
+TEST_F(CommitInOwnZone, IsAnsweredOnceAnotherZoneAnswers) {
+  const auto session = SubmitWrite();
+  AnswerZone("z1");
+  EXPECT_FALSE(m_bench.TakeAnswer(session));
+  AnswerZone("z2");
+  const auto answer = m_bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->Ok());
+}
+
 }  // namespace
 }  // namespace tiller::relay
