A primary that has stepped down leads again when the attempt fails

Cause: a leaving primary stepped down, then a replica did not pause or did not answer, and the attempt was given up. Nothing made the old primary lead again, and the next attempts failed for their own reasons.

Change: an attempt that fails after the step-down, and has called no promotion, promotes the old primary under its token.

Why it works: the old primary has all commits, and its promotion needs no replica.

Failed before: Failover.PrimaryLeadsAgainAfterAFailedAttempt (no commit for 9.9 s, and none in the end). The simulation kept a primary that had stepped down listed, and let CONTINUE make it lead again; neither is what endpoints do. It now reports its role at once and leads only after a promotion, which is stricter: all other tests pass with it.

--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -125,6 +125,7 @@
                 claim.version};
   job->commits_held = false;
   job->target_allowed = false;
+  job->primary_stepped_down = false;
   job->promotion_pending =
       (!no_open_claim && !claim.settled) || MayHaveSuccessors(claim);
   job->fences_older_promotion = job->promotion_pending;
@@ -197,6 +198,22 @@
   job->check_claim_at = m_clock->Now() + kClaimCheckDelay;
 }
 
+bool PrimaryFailover::RestorePrimary(const GroupId& group, Job* job,
+                                     const std::string& reason) {
+  const bool stepped_down = std::exchange(job->primary_stepped_down, false);
+  if (!stepped_down || job->promotion_pending) return false;
+  if (m_directory->endpoints.count(job->old_primary) == 0) return false;
+  m_counters->Add("failover_primary_restored");
+  log::Event(log::Channel::kFailover, log::Level::kWarn, "primary_restored",
+             {{"group", group},
+              {"endpoint", job->old_primary},
+              {"reason", reason},
+              {"token", std::to_string(job->claim.token)}});
+  job->target = job->old_primary;
+  StartPromoting(group, job);
+  return true;
+}
+
 void PrimaryFailover::GiveUp(const GroupId& group, Job* job,
                              const std::string& reason) {
   m_counters->Add("failover_given_up");
@@ -212,6 +229,7 @@
   const bool claim_fresh =
       m_clock->Now() - job->claim_sent_at <= kMaxClaimAge &&
       !job->renewing_claim;
+  if (acted && claim_fresh && RestorePrimary(group, job, reason)) return;
   if (acted && job->promotion_pending) {
     Abandon(group, job, reason);
     job->next_attempt_at = m_clock->Now() + kYieldBackoff;
--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -53,6 +53,7 @@
               {"term", std::to_string(job->leader_term)},
               {"listed", job->old_primary}});
   m_confirmed_primaries.emplace_back(group, std::exchange(job->leader, {}));
+  job->primary_stepped_down = false;
   if (job->stage != Stage::kAskingOthers) {
     GiveUp(group, job, "another endpoint leads the group");
   }
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -386,6 +386,7 @@
     const auto& answer = event.result.status;
     if (answer && !answer->primary) {
       job.stepped_down_at = answer->received;
+      job.primary_stepped_down = true;
       job.pause_not_before = m_clock->Now() + kLogDeliveryTime;
       return;
     }
@@ -513,6 +514,7 @@
 void PrimaryFailover::StartPromoting(const GroupId& group, Job* job) {
   job->stage = Stage::kPromoting;
   job->stage_deadline = m_clock->Now() + kPromoteTimeout;
+  job->primary_stepped_down = false;
   SendPromote(group, job);
 }
 
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -182,6 +182,8 @@
     // may be passed on.
     bool commits_held = false;
     bool target_allowed = false;
+    // The primary has stepped down for this job, which called no promotion yet.
+    bool primary_stepped_down = false;
     bool promote_outstanding = false;
     // From the health reports of the traffic thread.
     Duration silent_for{};
@@ -245,6 +247,11 @@
                      const GroupPosition& received);
   void StartPromoting(const GroupId& group, Job* job);
   void SendPromote(const GroupId& group, Job* job);
+  // Has the primary that this job made step down lead again, since nothing else
+  // would until another attempt succeeds. It has all commits. Returns false if
+  // there is none.
+  bool RestorePrimary(const GroupId& group, Job* job,
+                      const std::string& reason);
   // Resumes the paused replicas and delays the next attempt.
   void GiveUp(const GroupId& group, Job* job, const std::string& reason);
   void StartResume(const GroupId& group, Job* job);
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -483,6 +483,29 @@
   EXPECT_GE(promotions, 40);
 }
 
+// A leaving primary had stepped down when a replica could not be paused. The
+// attempt was given up, and the group had no primary for good (issue 36).
+TEST(Failover, PrimaryLeadsAgainAfterAFailedAttempt) {
+  FleetSimulation simulation(5, 3, 4);
+  simulation.Run(seconds(20));
+  simulation.unanswered_pauses = {"e2"};
+  simulation.Endpoints().at("e0").leaving = true;
+  simulation.WriteEndpointRow("e0");
+  auto last_commit_at = simulation.last_commit_at;
+  auto longest = Duration();
+  for (int i = 0; i < 400; ++i) {
+    simulation.Run(Milliseconds(25));
+    longest = std::max(longest, simulation.clock.Now() - last_commit_at);
+    last_commit_at = simulation.last_commit_at;
+  }
+  EXPECT_LT(longest, seconds(4));
+  simulation.unanswered_pauses.clear();
+  simulation.Run(seconds(6));
+  EXPECT_NE(simulation.PrimaryId(), "e0");
+  EXPECT_TRUE(simulation.violations.empty()) << simulation.TraceText();
+  EXPECT_TRUE(simulation.AllReplicasResumed());
+}
+
 // A row of an endpoint that does not run named itself a replica. Each change of
 // primary waited for its answer and was given up.
 TEST(Failover, StrayRowOfAReplicaDoesNotPreventAChangeOfPrimary) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -115,7 +115,7 @@
     return;
   }
   Json::Value value;
-  value["primary"] = id == m_primary_id;
+  value["primary"] = id == m_primary_id && !endpoint.stepped_down;
   value["leaving"] = endpoint.leaving;
   value["process_start_ms"] = Json::UInt64(endpoint.process_start_ms);
   value["report"] = Json::UInt64(++endpoint.report_number);
@@ -477,8 +477,7 @@
 
 void FleetSimulation::AcknowledgeTo(int host) {
   const auto& primary = m_endpoints.at(m_primary_id);
-  const bool is_primary = primary.paused_below <= primary.term;
-  if (!is_primary || writes_unanswered || CannotReachPrimary(host)) return;
+  if (primary.stepped_down || writes_unanswered || CannotReachPrimary(host)) return;
   const GroupPosition acknowledged{primary.term, m_acknowledged_position};
   m_hosts[static_cast<std::size_t>(host)]->acknowledged = acknowledged;
   if (!PassesOnCommits(host)) return;
@@ -512,7 +511,7 @@
   }
   if (used == m_primary_id) health.endpoint = used;  // it answers
   const auto& primary_endpoint = m_endpoints.at(m_primary_id);
-  if (primary_endpoint.paused_below > primary_endpoint.term) {
+  if (primary_endpoint.stepped_down) {
     // The endpoint has stepped down and rejects callers as not primary.
     health.endpoint = m_primary_id;
     health.deposed = true;
@@ -551,9 +550,7 @@
         std::max(m_acknowledged_position, endpoint.position);
   }
   auto& primary_endpoint = m_endpoints.at(m_primary_id);
-  if (!primary_endpoint.alive ||
-      primary_endpoint.paused_below > primary_endpoint.term)
-    return;
+  if (!primary_endpoint.alive || primary_endpoint.stepped_down) return;
   ++primary_endpoint.position;
   for (auto& [id, endpoint] : m_endpoints) {
     if (id == m_primary_id || !endpoint.alive) continue;
@@ -592,7 +589,7 @@
   promoted.term = newest + 1;
   promoted.paused_below = 0;
   // A primary that stepped down becomes an ordinary replica.
-  if (old != target) m_endpoints.at(old).paused_below = 0;
+  m_endpoints.at(old).stepped_down = false;
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.position = std::min(endpoint.position, promoted.position);
     endpoint.sent_term = 0;
@@ -609,28 +606,33 @@
       it != m_endpoints.end() && never_answered.count(request.endpoint) == 0;
   if (it == m_endpoints.end() || !it->second.alive) return done;
   auto& endpoint = it->second;
-  const bool is_primary = request.endpoint == m_primary_id;
+  const bool leads =
+      request.endpoint == m_primary_id && !endpoint.stepped_down;
   AddTrace("host " + std::to_string(host) + " orders " +
            std::string(NameOf(relay::kVerbNames, request.verb)) + " " +
            std::to_string(request.term) + " at " + request.endpoint +
            " (term " + std::to_string(endpoint.term) + ", position " +
            std::to_string(endpoint.position) + ")");
-  if (is_primary && CannotReachPrimary(host)) return done;
+  if (request.endpoint == m_primary_id && CannotReachPrimary(host)) return done;
   if (IsCut(ZoneOf(host), ZoneOf(request.endpoint))) return done;
+  if (request.verb == relay::Verb::kPause &&
+      unanswered_pauses.count(request.endpoint) > 0) {
+    return done;
+  }
   done.answered = true;
   if (request.verb == relay::Verb::kContinue) endpoint.paused_below = 0;
-  if (request.verb == relay::Verb::kPause && !is_primary &&
+  if (request.verb == relay::Verb::kPause && !leads &&
       request.term > endpoint.term) {
     endpoint.paused_below = request.term;
   }
-  if (request.verb == relay::Verb::kStepDown && is_primary &&
+  if (request.verb == relay::Verb::kStepDown && leads &&
       request.term > endpoint.term) {
     // The endpoint stops acting as primary. The group has no active primary
     // until a promotion.
-    endpoint.paused_below = request.term;
+    endpoint.stepped_down = true;
+    WriteEndpointRow(request.endpoint);
   }
-  const bool stepped_down = endpoint.paused_below > endpoint.term;
-  done.result.status = relay::EndpointStatus{is_primary && !stepped_down,
+  done.result.status = relay::EndpointStatus{leads && !endpoint.stepped_down,
                                              endpoint.term,
                                              {endpoint.term, endpoint.position},
                                              endpoint.paused_below};
@@ -653,8 +655,7 @@
   if (it == m_endpoints.end() || !it->second.alive || in_cut_zone) {
     return PromoteStatus::kFenced;
   }
-  const bool stepped_down = it->second.paused_below > it->second.term;
-  if (call.endpoint == m_primary_id && !stepped_down)
+  if (call.endpoint == m_primary_id && !it->second.stepped_down)
     return PromoteStatus::kDone;
   ++promotions;
   m_pending_promotion = {clock.Now() + kPromotionTime, call.endpoint};
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -34,6 +34,7 @@
   Term term = 1;
   std::uint64_t position = 0;
   Term paused_below = 0;
+  bool stepped_down = false;  // a primary that leads no more
   std::uint64_t process_start_ms = 0;
   std::uint64_t report_number = 0;
   bool sent_across_cut = false;  // to or from a zone that is cut off
@@ -96,6 +97,8 @@
   std::uint64_t lose_one_answer_in = 0;
   // Endpoints that have never answered a statement of any host.
   std::set<EndpointId> never_answered;
+  // Endpoints that leave PAUSE unanswered.
+  std::set<EndpointId> unanswered_pauses;
   // Promotions get no answer and are executed that much later; 0: at once.
   Milliseconds promotion_delay{0};
   int promotion_calls = 0;
