Relay: reachability in a file of its own

CheckReachability and its constants move from relay_core.cc to reachability.cc, and their test to reachability_test.cc.

--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -41,18 +41,6 @@
 // Part of the rate limit's tolerance that a restart of all hosts may use. The
 // rest covers operations that reach endpoints later than they were admitted.
 constexpr double kRestartAllowanceShare = 0.8;
-// A group counts as unreachable after its primary has not answered for this
-// long. Longer than a promotion takes, so that a failover does not make the
-// balancer send callers elsewhere.
-constexpr Milliseconds kUnreachableAfter{700};
-// The host is cut off once most groups have been unreachable for this long.
-constexpr Milliseconds kCutOffAfter{300};
-// A group without a primary counts as unreachable after this time. A former
-// primary has a successor by then, and a host that is not cut off knows it.
-constexpr Milliseconds kFailoverTimeout{2000};
-// By then the load balancer has noticed that the host is cut off, so closed
-// sessions reconnect to other hosts.
-constexpr Milliseconds kCutOffCloseAfter{2300};
 
 // `staleness` is the least staleness that a route of the group allows; 0 if
 // there is no such route.
@@ -396,41 +384,6 @@
   }
 }
 
-// A host that cannot reach most primaries can serve few requests, so the load
-// balancer should send callers to another zone.
-void RelayCore::CheckReachability() {
-  const auto now = Now();
-  std::size_t unreachable = 0;
-  for (const auto& [name, group] : m_directory->groups) {
-    auto& state = m_groups[name];
-    if (PrimaryOf(name) != nullptr) {
-      state.without_primary_since.reset();
-      if (state.silent_for > kUnreachableAfter) ++unreachable;
-      continue;
-    }
-    // Usually the primary is being replaced.
-    if (!state.without_primary_since) state.without_primary_since = now;
-    if (now - *state.without_primary_since > kFailoverTimeout) ++unreachable;
-  }
-  if (unreachable * 2 <= m_directory->groups.size()) {
-    m_unreachable_since.reset();
-  } else if (!m_unreachable_since) {
-    m_unreachable_since = now;
-  }
-  const bool cut_off =
-      m_unreachable_since && now - *m_unreachable_since >= kCutOffAfter;
-  if (cut_off != m_cut_off) {
-    m_cut_off = cut_off;
-    log::Event(log::Channel::kTraffic, log::Level::kWarn,
-               cut_off ? "cut_off" : "reachable_again",
-               {{"unreachable_groups", std::to_string(unreachable)},
-                {"groups", std::to_string(m_directory->groups.size())}});
-    m_actions.push_back(Reachability{cut_off});
-  }
-  if (cut_off && now - *m_unreachable_since >= kCutOffCloseAfter)
-    CloseIdleSessions();
-}
-
 // Closes sessions between operations once the load balancer has had time to
 // notice the drain. Transactions in progress may finish first.
 void RelayCore::Drain() {
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -175,6 +175,9 @@
   // Precondition: the statement has not been sent.
   void RefuseUncertainWrite(Session* session);
 
+  // ---- whether this host is cut off (reachability.cc)
+  void CheckReachability();
+
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
   void ExpireSteps();
@@ -183,7 +186,6 @@
   void ProbePrimaries();
   void ReportPrimaries();
   Duration SilenceOf(const GroupId& name, const EndpointId& primary);
-  void CheckReachability();
   std::vector<limits::RateLimit> RateLimits() const;
   void Drain();
   // True if the process may exit before it could answer this request.
