Relay: a host is cut off only by its own trouble

Cause: a group without a listed primary for 2 s counted as one that this host can't reach. Five of eight groups had none, so all hosts declared themselves cut off.

Such a group now counts only while the host may be the one that does not know: it hears no endpoint of other zones, or no endpoint at all. While most groups have no primary there are no writes that would show a loss of contact, so the host asks an endpoint of another zone every 0.5 s unless one has answered. A host that hears nothing asks some endpoint every 0.4 s, and comes back with the first answer. A listed primary that does not answer counts as before.

Three tests of Reachability.* failed before: "reachability_test.cc:74 Value of: bench.cut_off.value_or(false) Actual: true", :118 and :140 (never reachable again). relay_test: 80 of 80 pass.

--- a/Source/Relay/reachability.cc
+++ b/Source/Relay/reachability.cc
@@ -1,5 +1,9 @@
 // Relay: whether this host is cut off, so that callers are better served by
-// other hosts.
+// other hosts. Only its own trouble counts. Where all hosts lack the primaries,
+// a host that takes itself out only takes away the reads it could serve.
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <string>
 
 #include "Common/log.h"
@@ -14,20 +18,31 @@
 constexpr Milliseconds kUnreachableAfter{700};
 // The host is cut off once most groups have been unreachable for this long.
 constexpr Milliseconds kCutOffAfter{300};
-// A group without a primary counts as unreachable after this time. A former
-// primary has a successor by then, and a host that is not cut off knows it.
+// By then a former primary usually has a successor, and a host that is not cut
+// off knows it.
 constexpr Milliseconds kFailoverTimeout{2000};
+// A host that no endpoint answers asks one of them this often.
+constexpr Milliseconds kEndpointProbeInterval{400};
+constexpr Milliseconds kEndpointProbeTimeout{350};
+// While most groups have no primary, a host without an answer from other zones
+// for this long asks for one.
+constexpr Milliseconds kContactCheckInterval{500};
 // By then the load balancer has noticed that the host is cut off, so closed
 // sessions reconnect to other hosts.
 constexpr Milliseconds kCutOffCloseAfter{2300};
 
 }  // namespace
 
-// A host that cannot reach most primaries can serve few requests, so the load
-// balancer should send callers to another zone.
+// A listed primary that does not answer counts against this host, since other
+// hosts may reach it. A group without a primary does so only if the directory
+// may be out of date or others may know a primary: this host hears nothing from
+// other zones, or from any endpoint.
 void RelayCore::CheckReachability() {
   const auto now = Now();
+  const bool unheard = NoEndpointAnswers();
+  if (unheard) ProbeAnyEndpoint();
   std::size_t unreachable = 0;
+  std::size_t without_primary = 0;
   for (const auto& [name, group] : m_directory->groups) {
     auto& state = m_groups[name];
     if (PrimaryOf(name) != nullptr) {
@@ -37,7 +52,17 @@
     }
     // Usually the primary is being replaced.
     if (!state.without_primary_since) state.without_primary_since = now;
-    if (now - *state.without_primary_since > kFailoverTimeout) ++unreachable;
+    if (now - *state.without_primary_since <= kFailoverTimeout) continue;
+    ++without_primary;
+    if (unheard || m_isolated) ++unreachable;
+  }
+  const auto last_contact =
+      std::max(m_zone_contact.LastAnswer(), m_last_contact_probe);
+  if (without_primary * 2 > m_directory->groups.size() &&
+      now - last_contact >= kContactCheckInterval) {
+    // Writes, which show a loss of contact otherwise, are not sent now.
+    m_last_contact_probe = now;
+    ProbeOtherZones();
   }
   if (unreachable * 2 <= m_directory->groups.size()) {
     m_unreachable_since.reset();
@@ -51,6 +76,7 @@
     log::Event(log::Channel::kTraffic, log::Level::kWarn,
                cut_off ? "cut_off" : "reachable_again",
                {{"unreachable_groups", std::to_string(unreachable)},
+                {"groups_without_primary", std::to_string(without_primary)},
                 {"groups", std::to_string(m_directory->groups.size())}});
     m_actions.push_back(Reachability{cut_off});
   }
@@ -58,4 +84,39 @@
     CloseIdleSessions();
 }
 
+// True if an endpoint does not answer this host and no other one does. An
+// endpoint that was never asked says nothing.
+bool RelayCore::NoEndpointAnswers() {
+  bool any_silent = false;
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    if (SilenceOf(endpoint.group, id) > kUnreachableAfter) {
+      any_silent = true;
+    } else if (HealthOf(id).LastAnswer() != Instant{}) {
+      return false;
+    }
+  }
+  return any_silent;
+}
+
+// Without a primary there may be no request that asks an endpoint again.
+void RelayCore::ProbeAnyEndpoint() {
+  if (Now() - m_last_endpoint_probe < kEndpointProbeInterval) return;
+  if (m_directory->workspaces.empty()) return;
+  m_last_endpoint_probe = Now();
+  const auto& endpoints = m_directory->endpoints;
+  const auto chosen = std::next(
+      endpoints.begin(),
+      static_cast<std::ptrdiff_t>(m_random->UniformBelow(endpoints.size())));
+  const auto& [id, endpoint] = *chosen;
+  for (auto& [connection_id, connection] : m_connections) {
+    if (connection.endpoint != id) continue;
+    if (connection.state != ConnectionState::kIdle) continue;
+    connection.state = ConnectionState::kBusy;
+    return Send(&connection, Step::kAdmin, {Verb::kStatus, "", "", ""},
+                kEndpointProbeTimeout);
+  }
+  if (ConnectionsAt(id) > 0 || !CanOpenConnection(endpoint)) return;
+  Open(endpoint, m_directory->workspaces.begin()->first);
+}
+
 }  // namespace tiller::relay
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -177,6 +177,8 @@
 
   // ---- whether this host is cut off (reachability.cc)
   void CheckReachability();
+  bool NoEndpointAnswers();
+  void ProbeAnyEndpoint();
 
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
@@ -229,8 +231,10 @@
   std::optional<DrainTimes> m_drain;
   // Sessions that were opened before the first directory arrived.
   std::vector<SessionOpened> m_deferred_sessions;
-  // Since when most primaries have been unreachable.
+  // Since when most groups have been unreachable, through this host's own
+  // trouble as far as it can tell.
   std::optional<Instant> m_unreachable_since;
+  Instant m_last_endpoint_probe{};
   bool m_cut_off = false;
   ZoneContact m_zone_contact;
   // The zone is cut off, as far as this host can tell at the last tick.
--- a/Source/UnitTests/Relay/reachability_test.cc
+++ b/Source/UnitTests/Relay/reachability_test.cc
@@ -2,11 +2,43 @@
 // primaries are missing.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
+
 #include "UnitTests/Support/relay_bench.h"
 
 namespace tiller::relay {
 namespace {
 
+// The bench's directory after the primary's row has lapsed.
+Directory WithoutPrimary(const RelayBench& bench) {
+  auto directory = bench.MakeDirectory();
+  ++directory.version;
+  directory.groups["g"].primary.clear();
+  directory.endpoints.erase("p");
+  return directory;
+}
+
+// Lets time pass while endpoints answer the relay's own statements.
+void RunFor(RelayBench* bench, Milliseconds time) {
+  constexpr Milliseconds kTick{20};
+  for (auto passed = kTick; passed <= time; passed += kTick) {
+    bench->Tick(kTick);
+    bench->CompleteInternal();
+  }
+}
+
+// Runs a write and a read, so that the host has heard of both zones.
+void Use(RelayBench* bench) {
+  const auto session = bench->Open("own");
+  bench->Submit(session, Verb::kWrite, "WRITE x 1");
+  bench->CompleteInternal();
+  bench->log_position.position += 1;
+  bench->CompleteNext("receipt");
+  bench->TakeAnswer(session);
+  RunFor(bench, Milliseconds(200));
+}
+
 // Load pattern: a zone is cut off from the primaries. Its callers are better
 // served by another zone, so requests are refused immediately instead of
 // waiting here.
@@ -30,5 +62,83 @@
   EXPECT_FALSE(*bench.cut_off);
 }
 
+// Load pattern: most groups get no primary for a long time. All hosts counted
+// themselves as cut off, reads that replicas could serve were refused, and no
+// host was left.
+TEST(Reachability, GroupsWithoutPrimaryDoNotCutOffAHostThatHearsReplicas) {
+  RelayBench bench;
+  Use(&bench);
+  const auto idle = bench.Open("bounded");
+  bench.Publish(WithoutPrimary(bench));
+  RunFor(&bench, std::chrono::seconds(10));
+  ASSERT_FALSE(bench.cut_off.value_or(false));
+  ASSERT_TRUE(bench.closed.empty());
+  // A new primary is used without further ado.
+  auto directory = bench.MakeDirectory();
+  directory.version = 3;
+  bench.Publish(directory);
+  RunFor(&bench, Milliseconds(100));
+  bench.Submit(idle, Verb::kRead, "READ a");
+  bench.CompleteInternal();
+  bench.CompleteNext("receipt");
+  const auto answer = bench.TakeAnswer(idle);
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->Ok());
+}
+
+// Hosts outside an isolated zone may have a primary that it does not know.
+TEST(Reachability, GroupWithoutPrimaryCutsOffAHostInAnIsolatedZone) {
+  RelayBench bench;
+  Use(&bench);
+  // Nothing answers in the other zone, everything in this one.
+  const auto run_isolated = [&](Milliseconds time) {
+    for (int i = 0; i < time / Milliseconds(20); ++i) {
+      bench.Tick(Milliseconds(20));
+      auto& pending = bench.PendingStatements();
+      std::stable_partition(
+          pending.begin(), pending.end(),
+          [](const auto& statement) { return statement.endpoint != "r2"; });
+      while (!pending.empty() && pending.front().endpoint != "r2") {
+        bench.CompleteNext();
+      }
+    }
+  };
+  bench.Handle(AdminRequest{1, "r1", Verb::kStatus, 0});
+  bench.Handle(AdminRequest{2, "r2", Verb::kStatus, 0});
+  bench.unresponsive = true;
+  run_isolated(Milliseconds(500));
+  bench.Publish(WithoutPrimary(bench));
+  run_isolated(Milliseconds(1'500));
+  EXPECT_FALSE(bench.cut_off.value_or(false)) << "may be a failover";
+  run_isolated(Milliseconds(1'500));
+  EXPECT_TRUE(bench.cut_off.value_or(false));
+  // The zone is connected again, and there is still no primary.
+  bench.unresponsive = false;
+  RunFor(&bench, std::chrono::seconds(2));
+  EXPECT_FALSE(bench.cut_off.value_or(true));
+}
+
+// No other zone is there to be heard of.
+TEST(Reachability, HostThatNoEndpointAnswersIsCutOffUntilOneDoes) {
+  RelayBench bench;
+  const auto in_one_zone = [](Directory directory) {
+    for (auto& [id, endpoint] : directory.endpoints) endpoint.zone = "z1";
+    return directory;
+  };
+  bench.Publish(in_one_zone(bench.MakeDirectory()));
+  Use(&bench);
+  bench.unresponsive = true;
+  for (const auto* id : {"r1", "r2"}) {
+    bench.Handle(AdminRequest{1, id, Verb::kStatus, 0});
+    bench.Tick(Milliseconds(400));
+  }
+  bench.Publish(in_one_zone(WithoutPrimary(bench)));
+  for (int i = 0; i < 150; ++i) bench.Tick(Milliseconds(20));
+  EXPECT_TRUE(bench.cut_off.value_or(false));
+  bench.unresponsive = false;
+  RunFor(&bench, std::chrono::seconds(3));
+  EXPECT_FALSE(bench.cut_off.value_or(true));
+}
+
 }  // namespace
 }  // namespace tiller::relay
