Relay: a cut-off host closes only sessions that can move elsewhere

Sessions in use were closed between two statements.

Cause: each tick closed all sessions without a request, whenever they were opened and however short they had been idle. If fewer than half of a zone's hosts are in rotation the balancer uses all of them, so callers came back to such a host.

Now it closes sessions that were opened before the balancer had noticed, and only after 0.25 s without a request. Later ones were sent here for want of a better host, and get answers. A statement that is on its way when its session is closed after 0.25 s of idling still gets no answer; the protocol has no other way to end a session. The drain of a process that ends is unchanged.

CutOffHostClosesOnlySessionsThatCanMoveElsewhere failed before: "reachability_test.cc:157 Value of: bench.TakeAnswer(in_use) Actual: false". relay_test: 81 of 81 pass.

--- a/Source/Relay/reachability.cc
+++ b/Source/Relay/reachability.cc
@@ -30,6 +30,9 @@
 // By then the load balancer has noticed that the host is cut off, so closed
 // sessions reconnect to other hosts.
 constexpr Milliseconds kCutOffCloseAfter{2300};
+// Callers send the next statement of an operation right after an answer. It
+// must not cross with a close, or it would get none.
+constexpr Milliseconds kMinIdle{250};
 
 }  // namespace
 
@@ -80,8 +83,9 @@
                 {"groups", std::to_string(m_directory->groups.size())}});
     m_actions.push_back(Reachability{cut_off});
   }
-  if (cut_off && now - *m_unreachable_since >= kCutOffCloseAfter)
-    CloseIdleSessions();
+  if (!cut_off || now - *m_unreachable_since < kCutOffCloseAfter) return;
+  // The balancer sent later sessions here for want of a better host.
+  CloseIdleSessions(*m_unreachable_since + kCutOffCloseAfter, kMinIdle);
 }
 
 // True if an endpoint does not answer this host and no other one does. An
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -387,7 +387,8 @@
 // Closes sessions between operations once the load balancer has had time to
 // notice the drain. Transactions in progress may finish first.
 void RelayCore::Drain() {
-  if (Now() - m_drain->started >= kDrainDelay) CloseIdleSessions();
+  if (Now() - m_drain->started < kDrainDelay) return;
+  CloseIdleSessions(Instant::max(), Duration{});
 }
 
 bool RelayCore::ExitsBeforeAnswer(const Request& request) const {
@@ -395,10 +396,12 @@
          request.deadline > m_drain->exit;
 }
 
-void RelayCore::CloseIdleSessions() {
+void RelayCore::CloseIdleSessions(Instant opened_before, Duration min_idle) {
   std::vector<SessionId> idle;
   for (const auto& [id, session] : m_sessions) {
     if (session.request || session.state != TxState::kIdle) continue;
+    if (session.opened >= opened_before) continue;
+    if (Now() - session.last_active < min_idle) continue;
     idle.push_back(id);
   }
   for (const auto id : idle) {
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -192,7 +192,9 @@
   void Drain();
   // True if the process may exit before it could answer this request.
   bool ExitsBeforeAnswer(const Request& request) const;
-  void CloseIdleSessions();
+  // Closes sessions without an operation in progress that were opened before
+  // the given time and have been idle for `min_idle`.
+  void CloseIdleSessions(Instant opened_before, Duration min_idle);
   const Endpoint* PrimaryOf(const GroupId& group) const;
   // True if the group's primary is known and answers.
   bool PrimaryUsable(const GroupId& group) const;
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -88,6 +88,7 @@
   // Position of the newest commit of this session.
   GroupPosition last_commit_position;
   std::optional<Request> request;
+  Instant opened;
   Instant last_active;
 };
 
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -89,6 +89,7 @@
   session.key = event.key;
   session.workspace = known ? key->second : WorkspaceId(kNoWorkspace);
   session.route = route->second;
+  session.opened = Now();
   session.last_active = Now();
   m_counters->Add("sessions_opened");
   m_actions.push_back(AcceptSession{event.session});
--- a/Source/UnitTests/Relay/reachability_test.cc
+++ b/Source/UnitTests/Relay/reachability_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <vector>
 
 #include "UnitTests/Support/relay_bench.h"
 
@@ -140,5 +141,30 @@
   EXPECT_FALSE(bench.cut_off.value_or(true));
 }
 
+// A host that was cut off closed each new session before its first statement
+// could arrive, and statements that were on their way got no answer.
+TEST(Reachability, CutOffHostClosesOnlySessionsThatCanMoveElsewhere) {
+  RelayBench bench;
+  const auto idle = bench.Open("strict");
+  const auto in_use = bench.Open("strict");
+  bench.unresponsive = true;
+  bench.Submit(in_use, Verb::kWrite, "WRITE a 1");
+  for (int i = 0; i < 80; ++i) bench.Tick(Milliseconds(20));
+  ASSERT_TRUE(bench.cut_off.value_or(false));
+  EXPECT_TRUE(bench.closed.empty()) << "the balancer has not noticed";
+  for (int i = 0; i < 90; ++i) {
+    bench.Submit(in_use, Verb::kWrite, "WRITE a 1");
+    ASSERT_TRUE(bench.TakeAnswer(in_use)) << "statement " << i;
+    bench.Tick(Milliseconds(20));
+  }
+  EXPECT_EQ(bench.closed, std::vector{idle});
+  const auto opened_late = bench.Open("strict");
+  bench.Tick(Milliseconds(300));
+  EXPECT_EQ(bench.closed, (std::vector{idle, in_use}));
+  bench.Tick(std::chrono::seconds(3));
+  bench.Submit(opened_late, Verb::kWrite, "WRITE a 1");
+  EXPECT_TRUE(bench.TakeAnswer(opened_late)) << "the balancer knows no better";
+}
+
 }  // namespace
 }  // namespace tiller::relay
