Relay: requests that lack a primary for good are refused at once

What callers saw: in a group that got no primary for a minute, each write and strict read was held for 0.45 of its time limit, after it had taken a token of its workspace, and then refused; reads whose staleness no replica could prove waited half their target latency. Every refusal for want of a primary named the same 500 ms.

Cause: the wait is made for a failover, but had no regard to how long the group had been without a primary.

After 2 s without one, longer than a failover takes, what only a primary can serve is refused when it arrives and before it takes a token, BEGIN included, with a time to retry after of 0.5 to 1 s, by the core's own randomness. Requests that wait at that moment are refused at the next tick. Not affected: reads that a replica can serve, and open transactions with a connection. 1 s is the most, since limits are 1.5 s and up; the window in which a repeated statement counts as a retry grows with it, from 0.6 to 1.1 s.

Three tests of MissingPrimary.* failed before: "reachability_test.cc:191 Value of: waited Actual: false", :239 (no counter) and "277 Value of: refused Actual: false"; so did the new counter in CutOffHostClosesOnlySessionsThatCanMoveElsewhere.

--- a/Source/Relay/reachability.cc
+++ b/Source/Relay/reachability.cc
@@ -3,6 +3,7 @@
 // a host that takes itself out only takes away the reads it could serve.
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <iterator>
 #include <string>
 
@@ -27,6 +28,10 @@
 // While most groups have no primary, a host without an answer from other zones
 // for this long asks for one.
 constexpr Milliseconds kContactCheckInterval{500};
+// Callers that are refused for want of a primary retry after a time between
+// these. It is spread, so that they do not all return at once.
+constexpr Milliseconds kMinRetryDelay{500};
+constexpr Milliseconds kMaxRetryDelay{1000};
 // By then the load balancer has noticed that the host is cut off, so closed
 // sessions reconnect to other hosts.
 constexpr Milliseconds kCutOffCloseAfter{2300};
@@ -123,4 +128,31 @@
   Open(endpoint, m_directory->workspaces.begin()->first);
 }
 
+bool RelayCore::LacksPrimary(const Session& session) const {
+  const auto& group = session.route.group;
+  const auto& since = m_groups[group].without_primary_since;
+  if (session.pinned != 0 || PrimaryOf(group) != nullptr) return false;
+  if (!since || Now() - *since <= kFailoverTimeout) return false;
+  if (NeedsPrimary(session)) return true;
+  if (session.request->statement.verb == Verb::kBegin) return true;
+  // No replica can prove that it holds what the read needs.
+  return !NeededPosition(session);
+}
+
+void RelayCore::RefuseWithoutPrimary(Session* session) {
+  m_counters->Add(m_cut_off ? "refused_cut_off" : "refused_no_primary");
+  const auto spread =
+      static_cast<std::uint64_t>((kMaxRetryDelay - kMinRetryDelay).count());
+  const auto delay =
+      kMinRetryDelay + Milliseconds(m_random->UniformBelow(spread + 1));
+  const auto reason =
+      m_cut_off
+          ? std::string("most primaries are out of reach, use another host")
+          : "no primary, retry after " + std::to_string(delay.count()) + " ms";
+  if (session->state == TxState::kOpen) {
+    return RefuseInTransaction(session, Refusal::kBusy, reason);
+  }
+  Refuse(session, Refusal::kBusy, reason);
+}
+
 }  // namespace tiller::relay
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -256,7 +256,9 @@
   std::vector<SessionId> due;
   for (const auto& [id, session] : m_sessions) {
     if (!session.request || session.request->phase == Phase::kRunning) continue;
-    if (session.request->phase_end <= Now()) due.push_back(id);
+    const bool hopeless = session.request->phase == Phase::kWaitForConnection &&
+                          LacksPrimary(session);
+    if (hopeless || session.request->phase_end <= Now()) due.push_back(id);
   }
   for (const auto id : due) {
     auto* session = FindSession(id);
@@ -268,6 +270,7 @@
         continue;
       }
       const auto wait = m_tokens.TokenInterval(session->workspace);
+      m_counters->Add("refused_over_rate");
       Refuse(
           session, Refusal::kBusy,
           "rate exceeded, retry after " + std::to_string(wait.count()) + " ms");
@@ -282,8 +285,14 @@
       Dispatch(session);
       continue;
     }
+    if (LacksPrimary(*session)) {
+      RefuseWithoutPrimary(session);
+      continue;
+    }
     const bool no_primary =
         NeedsPrimary(*session) && !PrimaryUsable(session->route.group);
+    m_counters->Add(no_primary ? "refused_awaiting_primary"
+                               : "refused_awaiting_connection");
     if (session->state == TxState::kOpen)
       EndTransaction(session, TxState::kFailed);
     Refuse(session, Refusal::kBusy,
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -179,6 +179,11 @@
   void CheckReachability();
   bool NoEndpointAnswers();
   void ProbeAnyEndpoint();
+  // True if only a primary can serve the request, and the group has been
+  // without one for longer than a failover takes.
+  bool LacksPrimary(const Session& session) const;
+  // Precondition: the statement has not been sent.
+  void RefuseWithoutPrimary(Session* session);
 
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const DirectoryPtr& old, const Group& group);
--- a/Source/Relay/session_flow.cc
+++ b/Source/Relay/session_flow.cc
@@ -21,7 +21,7 @@
 constexpr Milliseconds kMaxTokenWait{20};
 // The same statement within this time after a refusal counts as a retry. Longer
 // than any retry delay that a refusal names.
-constexpr Milliseconds kRetryWindow{600};
+constexpr Milliseconds kRetryWindow{1'100};
 // Share of the target latency that is reserved for serving an operation after
 // its admission.
 constexpr double kServiceTimeShare = 0.25;
@@ -179,6 +179,8 @@
     return Refuse(session, Refusal::kNoStatement, "no such name");
   }
   DetectRetry(session);
+  // Before it takes a token that its retry will need.
+  if (LacksPrimary(*session)) return RefuseWithoutPrimary(session);
   m_retry_budget.AddCredit();
   if (TryTakeToken(session)) return OnOperationAdmitted(session);
   if (IsLate(*session)) {
@@ -289,8 +291,7 @@
       NeedsPrimary(*session) && !PrimaryUsable(session->route.group);
   if (m_cut_off && !Dispatch(session)) {
     if (session->request->pending_connection == 0) {
-      return Refuse(session, Refusal::kBusy,
-                    "most primaries are out of reach, use another host");
+      return RefuseWithoutPrimary(session);
     }
   }
   if (!session->request || request.phase != Phase::kWaitForConnection) return;
@@ -336,6 +337,7 @@
   request.phase_end =
       request.arrived + std::chrono::duration_cast<Duration>(
                             session->route.target_latency * kWaitShare);
+  if (LacksPrimary(*session)) return RefuseWithoutPrimary(session);
   Dispatch(session);
 }
 
--- a/Source/UnitTests/Relay/reachability_test.cc
+++ b/Source/UnitTests/Relay/reachability_test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "UnitTests/Support/relay_bench.h"
@@ -164,6 +166,135 @@
   bench.Tick(std::chrono::seconds(3));
   bench.Submit(opened_late, Verb::kWrite, "WRITE a 1");
   EXPECT_TRUE(bench.TakeAnswer(opened_late)) << "the balancer knows no better";
+  EXPECT_EQ(bench.counters.Get("refused_cut_off"), 91U);
+}
+
+// Load pattern: a group gets no primary for a long time. Each request for it
+// was held for nearly half its time limit, and all callers were told to return
+// after the same time.
+TEST(MissingPrimary, RequestsThatNeedOneAreRefusedAtOnceAndSpread) {
+  RelayBench bench;
+  Use(&bench);
+  const auto waits = bench.Open("strict");
+  const auto in_transaction = bench.Open("own");
+  const auto empty = bench.Open("own");
+  bench.Publish(WithoutPrimary(bench));
+  RunFor(&bench, Milliseconds(1'900));
+  bench.Submit(in_transaction, Verb::kBegin, "BEGIN");
+  bench.Submit(empty, Verb::kBegin, "BEGIN");
+  ASSERT_TRUE(bench.TakeAnswer(in_transaction)->Ok());
+  ASSERT_TRUE(bench.TakeAnswer(empty)->Ok());
+  bench.Submit(waits, Verb::kWrite, "WRITE a 1");
+  EXPECT_FALSE(bench.TakeAnswer(waits)) << "may be a failover";
+  RunFor(&bench, Milliseconds(200));
+  const auto waited = bench.TakeAnswer(waits);
+  ASSERT_TRUE(waited) << "no failover takes this long";
+  EXPECT_EQ(waited->refusal, Refusal::kBusy);
+
+  bench.Submit(in_transaction, Verb::kRead, "READ a");
+  const auto failed = bench.TakeAnswer(in_transaction);
+  ASSERT_TRUE(failed);
+  EXPECT_EQ(failed->refusal, Refusal::kBusy);
+  EXPECT_EQ(failed->state, TxState::kFailed);
+  bench.Submit(empty, Verb::kCommit, "COMMIT");
+  const auto ended = bench.TakeAnswer(empty);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->refusal, Refusal::kBusy);
+  EXPECT_EQ(ended->state, TxState::kIdle);
+
+  const std::string before = "no primary, retry after ";
+  std::set<int> delays;
+  for (int i = 0; i < 40; ++i) {
+    const auto session = bench.Open(i % 2 == 0 ? "strict" : "own");
+    const auto verb = i % 4 < 2 ? Verb::kWrite : Verb::kBegin;
+    bench.Submit(session, verb, "-");
+    const auto answer = bench.TakeAnswer(session);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->refusal, Refusal::kBusy);
+    EXPECT_EQ(answer->state, TxState::kIdle);
+    ASSERT_EQ(answer->text.rfind(before, 0), 0U) << answer->text;
+    delays.insert(std::stoi(answer->text.substr(before.size())));
+  }
+  EXPECT_GE(*delays.begin(), 500);
+  EXPECT_LE(*delays.rbegin(), 1'000);
+  EXPECT_GE(*delays.rbegin() - *delays.begin(), 300);
+  EXPECT_EQ(bench.counters.Get("refused_no_primary"), 43U);
+  EXPECT_EQ(bench.counters.Get("operations_admitted"), 4U)
+      << "tokens are left for the retries";
+}
+
+TEST(MissingPrimary, RequestWaitsWhileAFailoverMayBeInProgress) {
+  RelayBench bench;
+  Use(&bench);
+  const auto session = bench.Open("strict");
+  bench.Publish(WithoutPrimary(bench));
+  RunFor(&bench, Milliseconds(1'000));
+  bench.Submit(session, Verb::kWrite, "WRITE a 1");
+  RunFor(&bench, Milliseconds(340));
+  EXPECT_FALSE(bench.TakeAnswer(session));
+  RunFor(&bench, Milliseconds(40));
+  const auto answer = bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kBusy);
+  EXPECT_EQ(bench.counters.Get("refused_awaiting_primary"), 1U);
+  EXPECT_EQ(bench.counters.Get("refused_no_primary"), 0U);
+}
+
+TEST(MissingPrimary, ReadsThatReplicasCanServeGoOn) {
+  RelayBench bench;
+  Use(&bench);
+  auto directory = WithoutPrimary(bench);
+  directory.routes["bounded"].max_staleness = std::chrono::seconds(5);
+  bench.Publish(directory);
+  RunFor(&bench, std::chrono::seconds(3));
+  const auto session = bench.Open("bounded");
+  bench.Submit(session, Verb::kRead, "READ a");
+  bench.CompleteInternal();
+  ASSERT_FALSE(bench.PendingStatements().empty());
+  EXPECT_NE(bench.PendingStatements()[0].endpoint, "p");
+  bench.CompleteNext("receipt");
+  EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
+  bench.Submit(session, Verb::kBeginRead, "BEGIN READ");
+  EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
+  bench.Submit(session, Verb::kRead, "READ a");
+  bench.CompleteInternal();
+  bench.CompleteNext("receipt");
+  EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
+
+  bench.Submit(session, Verb::kCommit, "COMMIT");
+  bench.CompleteInternal();
+  bench.CompleteNext("receipt");
+  EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
+  bench.Submit(session, Verb::kBegin, "BEGIN");
+  const auto writing = bench.TakeAnswer(session);
+  ASSERT_TRUE(writing);
+  EXPECT_EQ(writing->refusal, Refusal::kBusy);
+
+  // No replica can prove a state this recent.
+  const auto own = bench.Open("own");
+  bench.Submit(own, Verb::kRead, "READ a");
+  const auto refused = bench.TakeAnswer(own);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->refusal, Refusal::kBusy);
+}
+
+TEST(MissingPrimary, RequestsAreServedAsSoonAsThereIsOne) {
+  RelayBench bench;
+  Use(&bench);
+  bench.Publish(WithoutPrimary(bench));
+  RunFor(&bench, std::chrono::seconds(5));
+  auto directory = WithoutPrimary(bench);
+  directory.version = 3;
+  directory.groups["g"].primary = "r1";
+  directory.endpoints["r1"].primary = true;
+  bench.Publish(directory);
+  const auto session = bench.Open("strict");
+  bench.Submit(session, Verb::kWrite, "WRITE a 1");
+  bench.CompleteInternal();
+  ASSERT_FALSE(bench.PendingStatements().empty());
+  EXPECT_EQ(bench.PendingStatements()[0].endpoint, "r1");
+  bench.CompleteNext("receipt");
+  EXPECT_TRUE(bench.TakeAnswer(session)->Ok());
 }
 
 }  // namespace
