--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -210,6 +210,16 @@
   void ReportHold(const GroupId& group);
   void EndHoldIfTargetLeads(const GroupId& group);
 
+  // ---- whether this host is cut off (reachability.cc)
+  void CheckReachability();
+  bool NoEndpointAnswers();
+  void ProbeAnyEndpoint();
+  // True if only a primary can serve the request, and the group has been
+  // without one for longer than a failover takes.
+  bool LacksPrimary(const Session& session) const;
+  // Precondition: the statement has not been sent.
+  void RefuseWithoutPrimary(Session* session);
+
   // ---- periodic work and look-ups (relay_core.cc)
   void HandlePrimaryChange(const Group& group);
   void ExpireSteps();
@@ -218,12 +228,13 @@
   void ProbePrimaries();
   void ReportPrimaries();
   Duration SilenceOf(const GroupId& name, const EndpointId& primary);
-  void CheckReachability();
   std::vector<limits::RateLimit> RateLimits() const;
   void Drain();
   // True if the process may exit before it could answer this request.
   bool ExitsBeforeAnswer(const Request& request) const;
-  void CloseIdleSessions();
+  // Closes sessions without an operation in progress that were opened before
+  // the given time and have been idle for `min_idle`.
+  void CloseIdleSessions(Instant opened_before, Duration min_idle);
   const Endpoint* PrimaryOf(const GroupId& group) const;
   // True if the group's primary is known and answers.
   bool PrimaryUsable(const GroupId& group) const;
@@ -262,8 +273,10 @@
   std::optional<DrainTimes> m_drain;
   // Sessions that were opened before the first directory arrived.
   std::vector<SessionOpened> m_deferred_sessions;
-  // Since when most primaries have been unreachable.
+  // Since when most groups have been unreachable, through this host's own
+  // trouble as far as it can tell.
   std::optional<Instant> m_unreachable_since;
+  Instant m_last_endpoint_probe{};
   bool m_cut_off = false;
   ZoneContact m_zone_contact;
   // The zone is cut off, as far as this host can tell at the last tick.
