Shared pools: administrative statements use any connection, callers wait

Cause, from the code: the pool treated PAUSE, STATUS, CONTINUE and STEPDOWN as statements of the sender's first workspace. They waited for a connection of that workspace behind its callers, even if connections of other workspaces were idle, and for 150 ms even at a host that held none. Why it works: these statements use no options, names, data or transaction, so an idle connection of any workspace can run them and is left as it was. They go first when a connection is free. A host without any connection refuses at once, one whose connections are all in transactions after 100 ms. The limit stays 150 ms otherwise: contact probes are such statements too, and a host that hears nothing for 200 ms takes its zone to be cut off. Connections that are busy or pinned are never used. Counters: pool_admin_borrowed, pool_admin_refused_none_held, pool_admin_refused_late. Tests: six of seven new SharedPool.* failed before ("bench.statements.size() Which is: 0, 1U", "replies[sender].size() Which is: 0"); the seventh guards that callers borrow nothing.

--- a/Source/Relay/connection_table.cc
+++ b/Source/Relay/connection_table.cc
@@ -19,6 +19,19 @@
   return best;
 }
 
+Connection* FindIdleOfAny(ConnectionTable* connections,
+                          const EndpointId& endpoint) {
+  Connection* best = nullptr;
+  for (auto& [id, connection] : *connections) {
+    if (connection.state != ConnectionState::kIdle) continue;
+    if (connection.endpoint != endpoint) continue;
+    if (best == nullptr || connection.idle_since > best->idle_since) {
+      best = &connection;
+    }
+  }
+  return best;
+}
+
 std::optional<ConnectionId> LongestIdle(const ConnectionTable& connections,
                                         const EndpointId& endpoint) {
   const Connection* oldest = nullptr;
--- a/Source/Relay/connection_table.h
+++ b/Source/Relay/connection_table.h
@@ -16,6 +16,10 @@
 Connection* FindIdle(ConnectionTable* connections, const EndpointId& endpoint,
                      const WorkspaceId& workspace);
 
+// Returns the most recently used idle connection of any workspace, or null.
+Connection* FindIdleOfAny(ConnectionTable* connections,
+                          const EndpointId& endpoint);
+
 // Returns the connection that has been idle longest, of any workspace.
 std::optional<ConnectionId> LongestIdle(const ConnectionTable& connections,
                                         const EndpointId& endpoint);
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -17,6 +17,9 @@
 // How long a statement may wait for a connection. The calling host times out
 // its own steps after 300 ms; a refusal must reach it before that.
 constexpr Milliseconds kConnectionWaitTimeout{150};
+// The same if transactions occupy all of the endpoint's connections here: the
+// sender of an administrative statement then tries another host.
+constexpr Milliseconds kPinnedWaitTimeout{100};
 constexpr Milliseconds kSetupStepTimeout{300};
 // Opening a connection includes a handshake in one of the endpoint's slots.
 constexpr Milliseconds kOpenTimeout{700};
@@ -196,16 +199,26 @@
   if (endpoint == nullptr) {
     return Refuse(session, Refusal::kMisrouted, "endpoint is gone");
   }
-  const auto verb = session->pending->statement.verb;
-  if (!IsAdministrative(verb) &&
-      SilenceOf(endpoint->id) > kRefuseAfterSilence) {
+  const bool administrative =
+      IsAdministrative(session->pending->statement.verb);
+  if (!administrative && SilenceOf(endpoint->id) > kRefuseAfterSilence) {
     return Refuse(session, Refusal::kAborted, "endpoint is silent");
   }
   auto* connection =
       FindIdle(&m_connections, session->endpoint, session->workspace);
+  if (connection == nullptr && administrative) {
+    connection = FindIdleOfAny(&m_connections, session->endpoint);
+    if (connection != nullptr) m_counters->Add("pool_admin_borrowed");
+  }
   if (connection == nullptr) {
-    TryOpenConnection(*session, *endpoint);
-    return;
+    if (TryOpenConnection(*session, *endpoint) || !administrative) return;
+    const bool holds_one = std::any_of(
+        m_connections.begin(), m_connections.end(), [&](const auto& item) {
+          return item.second.endpoint == session->endpoint;
+        });
+    if (holds_one) return;
+    m_counters->Add("pool_admin_refused_none_held");
+    return Refuse(session, Refusal::kBusy, "no connection");
   }
   connection->state = ConnectionState::kBusy;
   connection->session_id = session->id;
@@ -272,11 +285,20 @@
 
 void SharedPool::DispatchWaiting(const EndpointId& endpoint) {
   std::vector<WaitingRequest> requests;
+  std::vector<std::pair<Instant, SessionId>> administrative;
   for (const auto& [id, session] : m_sessions) {
     if (!session.pending || session.connection != 0) continue;
     if (session.endpoint != endpoint) continue;
+    if (IsAdministrative(session.pending->statement.verb)) {
+      administrative.emplace_back(session.arrived, id);
+      continue;
+    }
     requests.push_back({id, session.workspace, 0, session.arrived, false});
   }
+  std::sort(administrative.begin(), administrative.end());
+  for (const auto& [arrived, id] : administrative) {
+    AssignConnection(FindSession(id));
+  }
   if (requests.empty()) return;
   std::map<WorkspaceId, std::size_t> in_service;
   for (const auto& [id, connection] : m_connections) {
@@ -521,8 +543,7 @@
   std::vector<SessionId> timed_out;
   std::vector<SessionId> abandoned;
   for (const auto& [id, session] : m_sessions) {
-    if (session.pending && session.connection == 0 &&
-        Now() - session.arrived > kConnectionWaitTimeout) {
+    if (session.pending && session.connection == 0 && WaitIsOver(session)) {
       timed_out.push_back(id);
     }
     if (!session.pending && session.connection != 0 &&
@@ -531,6 +552,9 @@
     }
   }
   for (const auto id : timed_out) {
+    if (IsAdministrative(FindSession(id)->pending->statement.verb)) {
+      m_counters->Add("pool_admin_refused_late");
+    }
     Refuse(FindSession(id), Refusal::kBusy, "no connection");
   }
   for (const auto id : abandoned) {
@@ -539,6 +563,20 @@
   }
 }
 
+bool SharedPool::WaitIsOver(const PoolSession& session) const {
+  const auto waited = Now() - session.arrived;
+  if (waited > kConnectionWaitTimeout) return true;
+  if (waited <= kPinnedWaitTimeout ||
+      !IsAdministrative(session.pending->statement.verb)) {
+    return false;
+  }
+  return std::all_of(m_connections.begin(), m_connections.end(),
+                     [&](const auto& item) {
+                       return item.second.endpoint != session.endpoint ||
+                              item.second.state == ConnectionState::kPinned;
+                     });
+}
+
 void SharedPool::TrimIdle() {
   const auto& hosts = m_hosts_by_zone;
   std::map<EndpointId, std::size_t> kept;
--- a/Source/Relay/shared_pool.h
+++ b/Source/Relay/shared_pool.h
@@ -67,7 +67,9 @@
   // Returns false if the statement has to be sent to the endpoint.
   bool HandleLocal(PoolSession* session, const Statement& statement);
   // Runs the pending statement on an idle connection, or opens one and leaves
-  // the statement waiting.
+  // the statement waiting. An administrative statement uses no state of the
+  // session, so it runs on an idle connection of any workspace. It is refused
+  // at once if this host has no connection to wait for; another host may have.
   void AssignConnection(PoolSession* session);
   // Sends the next setup step, or the pending statement if none is left.
   void SendNextStep(Connection* connection, PoolSession* session);
@@ -75,10 +77,13 @@
   void Send(Connection* connection, Step step, SendStatement action,
             Duration limit);
   void Release(Connection* connection);
-  // Assigns connections to waiting statements, fairly among workspaces.
+  // Assigns connections to waiting statements: to administrative ones first,
+  // then fairly among workspaces.
   void DispatchWaiting(const EndpointId& endpoint);
   void Answer(PoolSession* session, StatementResult result);
   void Refuse(PoolSession* session, Refusal refusal, const std::string& reason);
+  // True if the session's statement has waited too long for a connection.
+  bool WaitIsOver(const PoolSession& session) const;
   void EndSession(SessionId id);
   // `silent`: an answer is overdue, so this host closes the connection.
   void HandleConnectionLoss(ConnectionId id, bool silent,
--- a/Source/UnitTests/Relay/shared_pool_test.cc
+++ b/Source/UnitTests/Relay/shared_pool_test.cc
@@ -67,12 +67,17 @@
   std::vector<SessionId> closed;
   int opened = 0;
   bool unresponsive = false;
+  bool refuse_connections = false;
 
  private:
   void HandleAction(const PoolAction& action) {
     if (const auto* open = std::get_if<OpenConnection>(&action)) {
       ++opened;
-      if (!unresponsive) pool.Handle(ConnectionOpened{open->connection, {}});
+      if (refuse_connections) {
+        pool.Handle(ConnectionRefused{open->connection, Refusal::kTooMany, ""});
+      } else if (!unresponsive) {
+        pool.Handle(ConnectionOpened{open->connection, {}});
+      }
     } else if (const auto* send = std::get_if<SendStatement>(&action)) {
       statements.push_back(*send);
     } else if (const auto* reply = std::get_if<Reply>(&action)) {
@@ -246,6 +251,130 @@
   EXPECT_EQ(bench.statements[0].statement.verb, Verb::kRollback);
 }
 
+// ---- administrative statements
+
+// Opens a transaction, so that its connection cannot be used by others.
+SessionId OpenTransaction(PoolBench* bench, const std::string& workspace) {
+  const auto session = bench->Open(workspace);
+  bench->Submit(session, Verb::kBegin, "BEGIN");
+  bench->CompleteNext(TxState::kOpen);
+  return session;
+}
+
+// 90 hosts shared 53 connections of an endpoint. The host that replaced the
+// primary found none of its workspace, and gave the group up.
+TEST(SharedPool, AdministrativeStatementUsesAConnectionOfAnyWorkspace) {
+  PoolBench bench;
+  const auto caller = bench.Open("w2");
+  bench.Submit(caller, Verb::kSetOption, "", "o", "1");
+  bench.Submit(caller, Verb::kRead, "READ a");
+  bench.CompleteNext();
+  const auto connection = bench.statements[0].connection;
+  bench.CompleteNext();
+  bench.refuse_connections = true;
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kPause, "PAUSE");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kPause);
+  EXPECT_EQ(bench.statements[0].connection, connection);
+  EXPECT_EQ(bench.counters.Get("pool_admin_borrowed"), 1U);
+  bench.CompleteNext();
+  EXPECT_EQ(bench.replies[sender].size(), 1U);
+  // The options of the caller still hold on the connection.
+  bench.Submit(caller, Verb::kRead, "READ b");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.text, "READ b");
+  EXPECT_EQ(bench.statements[0].connection, connection);
+}
+
+TEST(SharedPool, StatementOfACallerUsesNoConnectionOfAnotherWorkspace) {
+  PoolBench bench;
+  const auto first = bench.Open("w2");
+  bench.Submit(first, Verb::kRead, "READ a");
+  bench.CompleteNext();
+  bench.refuse_connections = true;
+  const auto second = bench.Open("w1");
+  bench.Submit(second, Verb::kRead, "READ a");
+  EXPECT_TRUE(bench.statements.empty());
+}
+
+TEST(SharedPool, AdministrativeStatementGoesBeforeCallers) {
+  PoolBench bench;
+  const auto running = bench.Open("w2");
+  bench.Submit(running, Verb::kRead, "READ a");
+  bench.refuse_connections = true;
+  const auto waiting = bench.Open("w2");
+  bench.Submit(waiting, Verb::kRead, "READ b");
+  bench.clock.Advance(Milliseconds(10));
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kStatus, "STATUS");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kStatus);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.text, "READ b");
+}
+
+TEST(SharedPool, AdministrativeStatementStaysOutOfOpenTransactions) {
+  PoolBench bench;
+  OpenTransaction(&bench, "w1");
+  OpenTransaction(&bench, "w2");
+  bench.refuse_connections = true;
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kPause, "PAUSE");
+  bench.Tick(Milliseconds(90));
+  EXPECT_TRUE(bench.statements.empty());
+  EXPECT_TRUE(bench.replies[sender].empty());
+  // Another host may have a connection that is free sooner.
+  bench.Tick(Milliseconds(20));
+  EXPECT_TRUE(bench.statements.empty());
+  ASSERT_EQ(bench.replies[sender].size(), 1U);
+  EXPECT_EQ(bench.replies[sender][0].refusal, Refusal::kBusy);
+  EXPECT_EQ(bench.counters.Get("pool_admin_refused_late"), 1U);
+}
+
+TEST(SharedPool, AdministrativeStatementRunsWhenATransactionEnds) {
+  PoolBench bench;
+  const auto caller = OpenTransaction(&bench, "w2");
+  bench.refuse_connections = true;
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kPause, "PAUSE");
+  bench.Submit(caller, Verb::kCommit, "COMMIT");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kPause);
+}
+
+TEST(SharedPool, AdministrativeStatementWaitsForAStatementInProgress) {
+  PoolBench bench;
+  OpenTransaction(&bench, "w1");
+  const auto caller = bench.Open("w2");
+  bench.Submit(caller, Verb::kRead, "READ a");
+  bench.refuse_connections = true;
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kPause, "PAUSE");
+  bench.Tick(Milliseconds(140));
+  EXPECT_TRUE(bench.replies[sender].empty());
+  ASSERT_EQ(bench.statements.size(), 1U);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kPause);
+}
+
+// The sender has to learn soon that it must ask another host.
+TEST(SharedPool, AdministrativeStatementIsRefusedAtOnceByAHostWithoutOne) {
+  PoolBench bench;
+  bench.refuse_connections = true;
+  const auto sender = bench.Open("w1");
+  bench.Submit(sender, Verb::kStatus, "STATUS");
+  ASSERT_EQ(bench.replies[sender].size(), 1U);
+  EXPECT_EQ(bench.replies[sender][0].refusal, Refusal::kBusy);
+  EXPECT_EQ(bench.counters.Get("pool_admin_refused_none_held"), 1U);
+}
+
 // ---- choice of the host that keeps the connections
 
 limits::SeatView Seats(std::size_t hosts) {
