Relay: an administrative statement opens a refused connection again

Found by reading the code. Cause: StartAdmin ran once, and again only when a connection to the endpoint became idle. A host without any connection there, whose first attempt was refused (TOOMANY, or a pool that is leaving), waited out its 350 ms and reported no answer, even if connections had become free meanwhile; the holder then gives the group up. Why it works: each tick starts the waiting statements once more, before callers'. An endpoint in backoff (nothing answered) is left alone, so that a replica that does not run doesn't collect failures that delay reads after its return. Tests: Admin.ConnectionThatWasRefusedIsOpenedAgain failed before ("Value of: bench.NextPendingAt("r1") Actual: false"); Admin.EndpointThatDoesNotRun... guards the backoff and passed before.

--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -17,7 +17,6 @@
 // under load the handshake waits for a free slot.
 constexpr Milliseconds kOpenTimeout{700};
 constexpr Milliseconds kRollbackTimeout{400};
-constexpr Milliseconds kAdminTimeout{350};
 // A host may hold up to share * kBorrowFactor + kBorrowExtra of an endpoint's
 // connections while other hosts leave theirs unused.
 constexpr std::size_t kBorrowFactor = 2;
@@ -421,13 +420,7 @@
   const auto* endpoint = FindEndpoint(connection->endpoint);
   const auto group = connection->group;
   const auto id = connection->id;
-  for (auto& [admin_id, job] : m_admin) {
-    if (job.connection != 0 || job.request.endpoint != connection->endpoint) {
-      continue;
-    }
-    StartAdmin(&job);
-    return;
-  }
+  if (endpoint != nullptr && RunWaitingAdmin(connection)) return;
   if (endpoint == nullptr || (endpoint->leaving && !endpoint->primary)) {
     return CloseAndRemove(id);
   }
@@ -485,53 +478,4 @@
   m_actions.push_back(health);
 }
 
-void RelayCore::On(const AdminRequest& event) {
-  auto& job = m_admin[event.id];
-  job.request = event;
-  job.deadline = Now() + kAdminTimeout;
-  StartAdmin(&job);
-}
-
-void RelayCore::StartAdmin(AdminJob* job) {
-  const auto* endpoint = FindEndpoint(job->request.endpoint);
-  if (endpoint == nullptr) return FinishAdmin(job->request.id, false, {});
-  for (auto& [id, connection] : m_connections) {
-    if (connection.endpoint != job->request.endpoint) continue;
-    if (connection.state != ConnectionState::kIdle) continue;
-    job->connection = id;
-    connection.state = ConnectionState::kBusy;
-    connection.admin = job->request.id;
-    SendStatement action;
-    action.connection = id;
-    action.statement.verb = job->request.verb;
-    action.term = job->request.term;
-    connection.step = Step::kAdmin;
-    connection.sent = action.statement;
-    connection.step_sent = Now();
-    connection.step_deadline = job->deadline;
-    m_actions.push_back(std::move(action));
-    return;
-  }
-  const bool opening = std::any_of(
-      m_connections.begin(), m_connections.end(), [&](const auto& item) {
-        return item.second.endpoint == endpoint->id &&
-               item.second.state == ConnectionState::kOpening;
-      });
-  if (opening || m_directory->workspaces.empty()) return;
-  if (CanOpenConnection(*endpoint) || ConnectionsAt(endpoint->id) == 0) {
-    Open(*endpoint, m_directory->workspaces.begin()->first);
-  }
-}
-
-void RelayCore::FinishAdmin(std::uint64_t id, bool answered,
-                            const StatementResult& result) {
-  const auto it = m_admin.find(id);
-  if (it == m_admin.end()) return;
-  const auto& endpoint = it->second.request.endpoint;
-  const bool ever_answered =
-      answered || HealthOf(endpoint).LastKnownPosition().has_value();
-  m_actions.push_back(AdminDone{id, endpoint, answered, result, ever_answered});
-  m_admin.erase(it);
-}
-
 }  // namespace tiller::relay
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -244,6 +244,7 @@
   ExpireRequests();
   if (!m_directory) return;
   ExpireIdleTransactions();
+  StartWaitingAdmin();
   for (const auto& [name, group] : m_directory->groups) DispatchWaiting(name);
   TrimIdle();
   CheckIsolation();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -53,6 +53,7 @@
     AdminRequest request;
     Instant deadline;
     ConnectionId connection = 0;
+    bool opened = false;  // a connection has been opened for it
   };
 
   // ---- events
@@ -159,7 +160,15 @@
   void RecordConfirmedPrimary(const Connection& connection,
                               const StatementResult& result);
   void RecordDeposedPrimary(const Connection& connection);
+
+  // ---- administrative statements (admin_flow.cc)
   void StartAdmin(AdminJob* job);
+  // Runs the job on the connection if that is idle and goes to its endpoint.
+  bool TryRunAdmin(AdminJob* job, Connection* connection);
+  // Runs a waiting job on an idle connection. Returns false if none needs it.
+  bool RunWaitingAdmin(Connection* connection);
+  // Starts the jobs that have no connection once more.
+  void StartWaitingAdmin();
   void FinishAdmin(std::uint64_t id, bool answered,
                    const StatementResult& result);
 
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -708,5 +708,34 @@
   EXPECT_FALSE(bench.admin[0].answered);
 }
 
+// Other hosts held all connections of a replica, so the first attempt to open
+// one was refused. It was the only one, although others closed theirs at once.
+TEST(Admin, ConnectionThatWasRefusedIsOpenedAgain) {
+  RelayBench bench;
+  bench.refuse_connections = true;
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  EXPECT_FALSE(bench.NextPendingAt("r1"));
+  bench.refuse_connections = false;
+  bench.Tick(Milliseconds(20));
+  bench.Tick(Milliseconds(20));
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  bench.CompleteNext();
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+}
+
+// Further attempts would delay reads there after its return.
+TEST(Admin, EndpointThatDoesNotRunIsNotConnectedToOnEveryTick) {
+  RelayBench bench;
+  bench.refuse_connections = true;
+  bench.connection_refusal = Refusal::kNone;
+  const auto before = bench.counters.Get("connections_opened");
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  for (int i = 0; i < 20; ++i) bench.Tick(Milliseconds(20));
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+  EXPECT_LE(bench.counters.Get("connections_opened") - before, 3U);
+}
+
 }  // namespace
 }  // namespace tiller::relay
