Relay: a pool's refusal of an administrative statement is not an answer

Cause: RelayCore reported every result as the endpoint's answer, also the refusal of a shared pool that had no connection. The control part counted it as a replica that does not pause, and raised the newest term. A pool that was lost ended the statement as well. Why it works: a pool's refusal carries no log position, an endpoint's answer does. After one, or if a pool is lost, the statement goes to the pool of another workspace on another host, until its 350 ms are over; when all were asked, again after 50 ms. Then it is reported as not answered. BUSY of the endpoint is repeated after 20 ms and, if it stays, reported as its answer. STATUS, PAUSE and STEPDOWN may run twice without harm. CONTINUE has no term, and a late one would end the next holder's pause: it is not sent again, only reported as not answered. A pool that was asked less than 250 ms before the time is over is not avoided: it may be waiting for a connection. Counters: admin_retried_pool_<code>, admin_retried_pool_lost, admin_retried_endpoint_busy, admin_continue_refused, admin_pools_exhausted, admin_waited_in_pool, admin_unanswered.

--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -35,6 +35,9 @@
 // Another host accepts a connection within one round trip; one that does not
 // may be frozen or gone.
 constexpr Milliseconds kPoolOpenTimeout{250};
+// Longer than a pool leaves an administrative statement waiting for a
+// connection.
+constexpr Milliseconds kPoolAdminTimeout{250};
 // A host whose pool did not answer is tried again after this time, which is
 // about that of a restart.
 constexpr Milliseconds kPoolRetryDelay{1'000};
@@ -231,12 +234,20 @@
               {"silent", silent ? "yes" : "no"},
               {"detail", reason}});
   const bool in_use = connection.state != ConnectionState::kIdle || silent;
-  if (in_use && !connection.pool_host_id.empty()) {
+  const bool pooled = !connection.pool_host_id.empty();
+  // The statement may have waited for a connection of the pool until the time
+  // of its job was over.
+  const bool may_have_waited = silent && pooled &&
+                               connection.step == Step::kAdmin &&
+                               Now() - connection.step_sent < kPoolAdminTimeout;
+  if (may_have_waited) {
+    m_counters->Add("admin_waited_in_pool");
+  } else if (in_use && pooled) {
     AvoidPool(connection.pool_host_id, reason);
   } else if (in_use) {
     HealthOf(connection.endpoint).RecordFailure(Now());
   }
-  if (silent && !connection.pool_host_id.empty()) {
+  if (silent && pooled && !may_have_waited) {
     // The host may be frozen or cut off, so idle connections through it are
     // not usable either.
     std::vector<ConnectionId> idle;
@@ -245,7 +256,7 @@
       if (other.state == ConnectionState::kIdle) idle.push_back(other_id);
     }
     for (const auto other : idle) CloseAndRemove(other);
-  } else if (silent) {
+  } else if (silent && !pooled) {
     // Whatever dropped the state of this connection may have dropped that of
     // the idle ones too.
     std::vector<ConnectionId> idle;
@@ -257,7 +268,7 @@
       for (const auto other : idle) CloseAndRemove(other);
     }
   }
-  if (connection.admin != 0) FinishAdmin(connection.admin, false, {});
+  if (connection.admin != 0) OnAdminLost(connection, silent);
   auto* session = FindSession(connection.session_id);
   if (session != nullptr && session->request &&
       session->request->connection == id) {
@@ -346,8 +357,9 @@
       return Release(connection);
     case Step::kAdmin: {
       const auto admin = std::exchange(connection->admin, 0);
+      const bool again = RetryRefusedAdmin(admin, *connection, result);
       Release(connection);
-      return FinishAdmin(admin, true, result);
+      return again ? StartWaitingAdmin() : FinishAdmin(admin, true, result);
     }
     default:
       return Release(connection);
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,6 +56,11 @@
     Instant deadline;
     ConnectionId connection = 0;
     bool opened = false;  // a connection has been opened for it
+    Instant retry_at{};
+    // Hosts whose pools could not run it.
+    std::set<HostId> tried_pools;
+    // The endpoint's own refusal, if there was one.
+    std::optional<StatementResult> refused;
   };
 
   // ---- events
@@ -163,12 +170,25 @@
 
   // ---- administrative statements (admin_flow.cc)
   void StartAdmin(AdminJob* job);
-  // Runs the job on the connection if that is idle and goes to its endpoint.
+  // Opens a connection to the endpoint for the job, through a pool that has not
+  // been tried.
+  void OpenForAdmin(AdminJob* job, const Endpoint& endpoint);
+  // Runs the job on the connection if that is idle and goes to its endpoint,
+  // not through a pool that has been tried.
   bool TryRunAdmin(AdminJob* job, Connection* connection);
   // Runs a waiting job on an idle connection. Returns false if none needs it.
   bool RunWaitingAdmin(Connection* connection);
   // Starts the jobs that have no connection once more.
   void StartWaitingAdmin();
+  // If the result does not answer the statement, because its pool had no
+  // connection or the endpoint was busy: prepares another attempt, or finishes
+  // the job, and returns true.
+  bool RetryRefusedAdmin(std::uint64_t id, const Connection& connection,
+                         const StatementResult& result);
+  // The connection that served the job was lost. `silent`: its time was over.
+  void OnAdminLost(const Connection& connection, bool silent);
+  void RetryAdmin(AdminJob* job, const Connection& connection,
+                  const std::string& reason);
   void FinishAdmin(std::uint64_t id, bool answered,
                    const StatementResult& result);
 
--- a/Source/UnitTests/Relay/relay_core_test.cc
+++ b/Source/UnitTests/Relay/relay_core_test.cc
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "UnitTests/Support/relay_bench.h"
 
 namespace tiller::relay {
@@ -737,5 +739,192 @@
   EXPECT_LE(bench.counters.Get("connections_opened") - before, 3U);
 }
 
+TEST(Admin, BusyEndpointIsAskedAgain) {
+  RelayBench bench;
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  bench.Refuse(Refusal::kBusy);
+  EXPECT_TRUE(bench.admin.empty());
+  EXPECT_TRUE(bench.PendingStatements().empty());
+  bench.Tick(Milliseconds(20));
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  bench.CompleteNext();
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+  EXPECT_TRUE(bench.admin[0].result.Ok());
+  EXPECT_EQ(bench.counters.Get("admin_retried_endpoint_busy"), 1U);
+}
+
+TEST(Admin, EndpointThatStaysBusyHasAnswered) {
+  RelayBench bench;
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  for (int i = 0; i < 30 && bench.admin.empty(); ++i) {
+    if (bench.NextPendingAt("r1")) bench.Refuse(Refusal::kBusy);
+    bench.Tick(Milliseconds(20));
+  }
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+  EXPECT_EQ(bench.admin[0].result.refusal, Refusal::kBusy);
+}
+
+TEST(Admin, OtherRefusalsOfTheEndpointAreReportedAtOnce) {
+  RelayBench bench;
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  bench.Refuse(Refusal::kFailed);
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+}
+
+// 24 hosts whose connections go through shared pools, and eight workspaces
+// whose pools are on different hosts.
+void UseSharedPools(RelayBench* bench) {
+  limits::SeatView seats;
+  for (int i = 0; i < 24; ++i) {
+    seats.holders.push_back("h" + std::to_string(i + 1));
+    seats.zones.push_back("z1");
+    seats.pool_addresses.push_back("h" + std::to_string(i + 1) + ":8");
+  }
+  seats.held = {0};
+  seats.valid_until = bench->clock.Now() + std::chrono::hours(1);
+  auto directory = bench->MakeDirectory();
+  for (int i = 3; i <= 8; ++i) {
+    const auto name = "w" + std::to_string(i);
+    directory.workspaces[name] = {name, 1000, 1000};
+  }
+  bench->Publish(directory);
+  bench->Handle(SeatsChanged{seats});
+  bench->Tick(std::chrono::seconds(3));
+  bench->CompleteInternal();
+}
+
+// The holder of a claim took the refusal of a pool for one of the replica, and
+// gave the group up.
+TEST(Admin, PoolWithoutAConnectionIsNotTheEndpointsAnswer) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  std::set<std::string> asked;
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_TRUE(bench.NextPendingAt("r1"));
+    EXPECT_TRUE(asked.insert(bench.NextPendingAt("r1")->address).second);
+    bench.RefuseByPool(Refusal::kBusy);
+    EXPECT_TRUE(bench.admin.empty());
+  }
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  EXPECT_EQ(asked.count(bench.NextPendingAt("r1")->address), 0U);
+  EXPECT_EQ(bench.NextPendingAt("r1")->statement.term, 4U);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+  EXPECT_TRUE(bench.admin[0].result.Ok());
+  EXPECT_EQ(bench.counters.Get("admin_retried_pool_busy"), 3U);
+}
+
+// CONTINUE has no term: a late one would end the pause of the next holder.
+TEST(Admin, ContinueIsNotSentAgain) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kContinue, 0});
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  bench.RefuseByPool(Refusal::kBusy);
+  EXPECT_FALSE(bench.NextPendingAt("r1"));
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+}
+
+TEST(Admin, ContinueOpensNoConnectionAgain) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.unresponsive = true;
+  bench.Handle(AdminRequest{5, "r1", Verb::kContinue, 0});
+  bench.unresponsive = false;
+  bench.Tick(Milliseconds(300));  // the pool has not accepted the connection
+  EXPECT_FALSE(bench.NextPendingAt("r1"));
+}
+
+TEST(Admin, RefusalsOfAllPoolsAreNoAnswer) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kPause, 4});
+  int asked = 0;
+  for (int i = 0; i < 30 && bench.admin.empty(); ++i) {
+    for (; bench.NextPendingAt("r1") && asked < 1000; ++asked) {
+      bench.RefuseByPool(Refusal::kBusy);
+    }
+    bench.Tick(Milliseconds(20));
+  }
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+  // Pools that were asked are asked again, at most once in 50 ms.
+  EXPECT_GT(asked, 8);
+  EXPECT_LE(asked, 8 * 8);
+  EXPECT_GT(bench.counters.Get("admin_pools_exhausted"), 0U);
+  EXPECT_EQ(bench.counters.Get("admin_unanswered"), 1U);
+}
+
+TEST(Admin, LostPoolIsReplacedByAnother) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  const auto first = bench.NextPendingAt("r1")->address;
+  bench.DropNextConnection();
+  EXPECT_TRUE(bench.admin.empty());
+  bench.Tick(Milliseconds(20));
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  EXPECT_NE(bench.NextPendingAt("r1")->address, first);
+  bench.CompleteNext();
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_TRUE(bench.admin[0].answered);
+  EXPECT_EQ(bench.counters.Get("admin_retried_pool_lost"), 1U);
+}
+
+// A pool that was asked shortly before the time is over may be waiting for one
+// of its connections.
+TEST(Admin, PoolThatWasAskedLateIsNotAvoided) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  bench.Tick(Milliseconds(150));
+  ASSERT_TRUE(bench.NextPendingAt("r1"));
+  bench.RefuseByPool(Refusal::kBusy);
+  for (int i = 0; i < 12; ++i) bench.Tick(Milliseconds(20));
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+  EXPECT_EQ(bench.counters.Get("pools_avoided"), 0U);
+  EXPECT_EQ(bench.counters.Get("admin_waited_in_pool"), 1U);
+}
+
+TEST(Admin, PoolThatDoesNotAnswerIsAvoided) {
+  RelayBench bench;
+  UseSharedPools(&bench);
+  bench.Handle(AdminRequest{5, "r1", Verb::kStatus, 0});
+  for (int i = 0; i < 20; ++i) bench.Tick(Milliseconds(20));
+  ASSERT_EQ(bench.admin.size(), 1U);
+  EXPECT_FALSE(bench.admin[0].answered);
+  EXPECT_EQ(bench.counters.Get("pools_avoided"), 1U);
+}
+
+// A statement runs on a connection without a transaction, although the only
+// connection that is open to the endpoint has one.
+TEST(Admin, StatementStaysOutOfOpenTransactions) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  bench.Submit(session, Verb::kBegin, "BEGIN");
+  bench.Submit(session, Verb::kRead, "READ a");
+  bench.CompleteInternal();
+  const auto used = bench.PendingStatements().front().statement.connection;
+  bench.CompleteNext();
+  bench.endpoint_limit = bench.OpenConnectionsAt("p");
+  bench.Handle(AdminRequest{5, "p", Verb::kStatus, 0});
+  for (int i = 0; i < 20 && bench.admin.empty(); ++i) {
+    for (const auto& pending : bench.PendingStatements()) {
+      EXPECT_NE(pending.statement.connection, used);
+    }
+    bench.Tick(Milliseconds(20));
+  }
+  EXPECT_EQ(bench.admin.size(), 1U);
+}
+
 }  // namespace
 }  // namespace tiller::relay
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -99,11 +99,13 @@
       core.Handle(ConnectionRefused{open->connection, connection_refusal, ""});
       return;
     }
-    m_connections[open->connection] = {open->endpoint, open->workspace};
+    m_connections[open->connection] = {open->endpoint, open->workspace,
+                                       open->address};
     core.Handle(ConnectionOpened{open->connection, log_position});
   } else if (const auto* send = std::get_if<SendStatement>(&action)) {
     const auto& opened = m_connections.at(send->connection);
-    m_pending.push_back({*send, opened.endpoint, opened.workspace});
+    m_pending.push_back(
+        {*send, opened.endpoint, opened.workspace, opened.address});
   } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
     m_connections.erase(close->connection);
     std::erase_if(m_pending, [&](const Pending& pending) {
@@ -150,6 +152,14 @@
   Handle(StatementDone{pending.statement.connection, result});
 }
 
+void RelayBench::RefuseByPool(Refusal refusal) {
+  const auto pending = m_pending.front();
+  m_pending.erase(m_pending.begin());
+  StatementResult result;
+  result.refusal = refusal;
+  Handle(StatementDone{pending.statement.connection, result});
+}
+
 void RelayBench::CompleteInternal() {
   while (!m_pending.empty() && m_pending.front().statement.id.empty()) {
     CompleteNext();
--- a/Source/UnitTests/Support/relay_bench.h
+++ b/Source/UnitTests/Support/relay_bench.h
@@ -38,6 +38,7 @@
     SendStatement statement;
     EndpointId endpoint;
     WorkspaceId workspace;
+    std::string address;  // of the endpoint or of the shared pool
   };
   std::vector<Pending>& PendingStatements() { return m_pending; }
   // Returns the oldest of them at the endpoint, if any.
@@ -47,6 +48,8 @@
                     std::optional<GroupPosition> position = {});
   // Answers the oldest pending statement with a refusal.
   void Refuse(Refusal refusal, TxState state = TxState::kIdle);
+  // Answers it with a refusal of a shared pool, which has no log position.
+  void RefuseByPool(Refusal refusal);
   // Answers the relay's own statements until a caller's statement is next.
   void CompleteInternal();
   // Drops the connection of the oldest pending statement.
@@ -89,6 +92,7 @@
   struct OpenedConnection {
     EndpointId endpoint;
     WorkspaceId workspace;
+    std::string address;
   };
   std::map<ConnectionId, OpenedConnection> m_connections;
   std::vector<Pending> m_pending;
