--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -17,7 +17,6 @@
 // under load the handshake waits for a free slot.
 constexpr Milliseconds kOpenTimeout{700};
 constexpr Milliseconds kRollbackTimeout{400};
-constexpr Milliseconds kAdminTimeout{350};
 // A host may hold up to share * kBorrowFactor + kBorrowExtra of an endpoint's
 // connections while other hosts leave theirs unused.
 constexpr std::size_t kBorrowFactor = 2;
@@ -36,6 +35,9 @@
 // Another host accepts a connection within one round trip; one that does not
 // may be frozen or gone.
 constexpr Milliseconds kPoolOpenTimeout{250};
+// Longer than a pool leaves an administrative statement waiting for a
+// connection.
+constexpr Milliseconds kPoolAdminTimeout{250};
 // A host whose pool did not answer is tried again after this time, which is
 // about that of a restart.
 constexpr Milliseconds kPoolRetryDelay{1'000};
@@ -232,12 +234,20 @@
               {"silent", silent ? "yes" : "no"},
               {"detail", reason}});
   const bool in_use = connection.state != ConnectionState::kIdle || silent;
-  if (in_use && !connection.pool_host_id.empty()) {
+  const bool pooled = !connection.pool_host_id.empty();
+  // The statement may have waited for a connection of the pool until the time
+  // of its job was over.
+  const bool may_have_waited = silent && pooled &&
+                               connection.step == Step::kAdmin &&
+                               Now() - connection.step_sent < kPoolAdminTimeout;
+  if (may_have_waited) {
+    m_counters->Add("admin_waited_in_pool");
+  } else if (in_use && pooled) {
     AvoidPool(connection.pool_host_id, reason);
   } else if (in_use) {
     HealthOf(connection.endpoint).RecordFailure(Now());
   }
-  if (silent && !connection.pool_host_id.empty()) {
+  if (silent && pooled && !may_have_waited) {
     // The host may be frozen or cut off, so idle connections through it are
     // not usable either.
     std::vector<ConnectionId> idle;
@@ -246,7 +256,7 @@
       if (other.state == ConnectionState::kIdle) idle.push_back(other_id);
     }
     for (const auto other : idle) CloseAndRemove(other);
-  } else if (silent) {
+  } else if (silent && !pooled) {
     // Whatever dropped the state of this connection may have dropped that of
     // the idle ones too.
     std::vector<ConnectionId> idle;
@@ -258,7 +268,7 @@
       for (const auto other : idle) CloseAndRemove(other);
     }
   }
-  if (connection.admin != 0) FinishAdmin(connection.admin, false, {});
+  if (connection.admin != 0) OnAdminLost(connection, silent);
   auto* session = FindSession(connection.session_id);
   if (session != nullptr && session->request &&
       session->request->connection == id) {
@@ -347,8 +357,9 @@
       return Release(connection);
     case Step::kAdmin: {
       const auto admin = std::exchange(connection->admin, 0);
+      const bool again = RetryRefusedAdmin(admin, *connection, result);
       Release(connection);
-      return FinishAdmin(admin, true, result);
+      return again ? StartWaitingAdmin() : FinishAdmin(admin, true, result);
     }
     default:
       return Release(connection);
@@ -421,13 +432,7 @@
   const auto* endpoint = FindEndpoint(connection->endpoint);
   const auto group = connection->group;
   const auto id = connection->id;
-  for (auto& [admin_id, job] : m_admin) {
-    if (job.connection != 0 || job.request.endpoint != connection->endpoint) {
-      continue;
-    }
-    StartAdmin(&job);
-    return;
-  }
+  if (endpoint != nullptr && RunWaitingAdmin(connection)) return;
   if (endpoint == nullptr || (endpoint->leaving && !endpoint->primary)) {
     return CloseAndRemove(id);
   }
@@ -485,53 +490,4 @@
   m_actions.push_back(health);
 }
 
-void RelayCore::On(const AdminRequest& event) {
-  auto& job = m_admin[event.id];
-  job.request = event;
-  job.deadline = Now() + kAdminTimeout;
-  StartAdmin(&job);
-}
-
-void RelayCore::StartAdmin(AdminJob* job) {
-  const auto* endpoint = FindEndpoint(job->request.endpoint);
-  if (endpoint == nullptr) return FinishAdmin(job->request.id, false, {});
-  for (auto& [id, connection] : m_connections) {
-    if (connection.endpoint != job->request.endpoint) continue;
-    if (connection.state != ConnectionState::kIdle) continue;
-    job->connection = id;
-    connection.state = ConnectionState::kBusy;
-    connection.admin = job->request.id;
-    SendStatement action;
-    action.connection = id;
-    action.statement.verb = job->request.verb;
-    action.term = job->request.term;
-    connection.step = Step::kAdmin;
-    connection.sent = action.statement;
-    connection.step_sent = Now();
-    connection.step_deadline = job->deadline;
-    m_actions.push_back(std::move(action));
-    return;
-  }
-  const bool opening = std::any_of(
-      m_connections.begin(), m_connections.end(), [&](const auto& item) {
-        return item.second.endpoint == endpoint->id &&
-               item.second.state == ConnectionState::kOpening;
-      });
-  if (opening || m_directory->workspaces.empty()) return;
-  if (CanOpenConnection(*endpoint) || ConnectionsAt(endpoint->id) == 0) {
-    Open(*endpoint, m_directory->workspaces.begin()->first);
-  }
-}
-
-void RelayCore::FinishAdmin(std::uint64_t id, bool answered,
-                            const StatementResult& result) {
-  const auto it = m_admin.find(id);
-  if (it == m_admin.end()) return;
-  const auto& endpoint = it->second.request.endpoint;
-  const bool ever_answered =
-      answered || HealthOf(endpoint).LastKnownPosition().has_value();
-  m_actions.push_back(AdminDone{id, endpoint, answered, result, ever_answered});
-  m_admin.erase(it);
-}
-
 }  // namespace tiller::relay
