A busy endpoint says nothing of its term or role

Callers waited longer for a new primary while a replica was busy.

Cause: an answer without a status, which a busy endpoint gives, counted as a probe that was answered, raised the term that pauses ask for, so that confirmed pauses were asked for again, and ended the step-down of a primary. Change: such an endpoint is asked again until the stage ends. Failed before: Failover.BusyReplicaIsAskedAgain (a pause in term 3).

--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -88,6 +88,10 @@
 
 void PrimaryFailover::OnProbeAnswered(const GroupId &group, Job *job,
                                       const relay::AdminDone &event) {
+  // A busy endpoint is asked again until the stage ends.
+  if (event.answered && !event.result.status) {
+    return SendAdminRequest(group, event.endpoint, relay::Verb::kStatus, 0);
+  }
   if (!event.answered) {
     if (EndIfLed(group, job)) return;
     if (!m_history.NeverAnswers(event.endpoint) ||
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -395,6 +395,11 @@
       // The requested term was too low; the answer contains the newest one.
       return StartStepDown(group, &job);
     }
+    // A busy primary is asked again until the stage ends.
+    if (event.answered && !answer) {
+      return SendAdminRequest(group, event.endpoint, relay::Verb::kStepDown,
+                              job.pause_term);
+    }
     // The primary is down or unreachable, so only the replicas are compared.
     return StartPause(group, &job);
   }
@@ -422,7 +427,8 @@
        {"held", status ? std::to_string(status->paused_below) : "unknown"},
        {"asked", std::to_string(job.pause_term)}});
   // Some endpoint of the group is in a newer term than this endpoint reported.
-  if (event.answered) {
+  // A busy endpoint says nothing of that.
+  if (event.answered && status) {
     job.newest_term = std::max(job.newest_term, job.pause_term);
   }
   if (status && status->primary) {
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -506,6 +506,19 @@
   EXPECT_TRUE(simulation.AllReplicasResumed());
 }
 
+// A busy replica counted as probed, and as one of a newer term: the replicas
+// that had been paused were paused again, each time in a higher term.
+TEST(Failover, BusyReplicaIsAskedAgain) {
+  FleetSimulation simulation(5, 3, 4);
+  simulation.Run(seconds(20));
+  simulation.busy_answers["e2"] = 8;
+  simulation.Endpoints().at("e0").alive = false;
+  simulation.Run(seconds(2));
+  EXPECT_EQ(simulation.promotions, 1);
+  EXPECT_EQ(simulation.TraceText().find("orders pause 3"), std::string::npos)
+      << simulation.TraceText();
+}
+
 // A row of an endpoint that does not run named itself a replica. Each change of
 // primary waited for its answer and was given up.
 TEST(Failover, StrayRowOfAReplicaDoesNotPreventAChangeOfPrimary) {
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -477,7 +477,8 @@
 
 void FleetSimulation::AcknowledgeTo(int host) {
   const auto& primary = m_endpoints.at(m_primary_id);
-  if (primary.stepped_down || writes_unanswered || CannotReachPrimary(host)) return;
+  if (primary.stepped_down || writes_unanswered || CannotReachPrimary(host))
+    return;
   const GroupPosition acknowledged{primary.term, m_acknowledged_position};
   m_hosts[static_cast<std::size_t>(host)]->acknowledged = acknowledged;
   if (!PassesOnCommits(host)) return;
@@ -606,8 +607,7 @@
       it != m_endpoints.end() && never_answered.count(request.endpoint) == 0;
   if (it == m_endpoints.end() || !it->second.alive) return done;
   auto& endpoint = it->second;
-  const bool leads =
-      request.endpoint == m_primary_id && !endpoint.stepped_down;
+  const bool leads = request.endpoint == m_primary_id && !endpoint.stepped_down;
   AddTrace("host " + std::to_string(host) + " orders " +
            std::string(NameOf(relay::kVerbNames, request.verb)) + " " +
            std::to_string(request.term) + " at " + request.endpoint +
@@ -620,6 +620,11 @@
     return done;
   }
   done.answered = true;
+  if (busy_answers[request.endpoint] > 0) {
+    --busy_answers[request.endpoint];
+    done.result.refusal = relay::Refusal::kBusy;
+    return done;
+  }
   if (request.verb == relay::Verb::kContinue) endpoint.paused_below = 0;
   if (request.verb == relay::Verb::kPause && !leads &&
       request.term > endpoint.term) {
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -97,6 +97,9 @@
   std::uint64_t lose_one_answer_in = 0;
   // Endpoints that have never answered a statement of any host.
   std::set<EndpointId> never_answered;
+  // How often endpoints answer that they are busy before they do what a host
+  // asks for.
+  std::map<EndpointId, int> busy_answers;
   // Endpoints that leave PAUSE unanswered.
   std::set<EndpointId> unanswered_pauses;
   // Promotions get no answer and are executed that much later; 0: at once.
