The holder knows of a step-down through another host, and reaches leaving replicas

Cause: (1) other hosts make a primary step down on behalf of the holder, but their answers stayed with them: the holder took the primary for unreachable, gave up, and did not make it lead again. (2) A shared pool closed a connection to a leaving replica as soon as it was open, so no administrative statement that waited for it ever ran: "i-... did not answer", 52 times for one replica.

Change: hosts report a step-down to the host that asked for it, which waits for these reports as long as the stage lasts. A pool runs what waits for a connection before it closes it.

Failed before: SharedPool.AdministrativeStatementRunsAtALeavingReplica (opened and closed connections without end) and, with the reports ignored, Failover.StepDownThroughAnotherHostIsKnownToTheHolder.

--- a/Source/Fleet/commit_lease.h
+++ b/Source/Fleet/commit_lease.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/clock.h"
--- a/Source/Fleet/fleet_core.cc
+++ b/Source/Fleet/fleet_core.cc
@@ -150,7 +150,11 @@
   }
   if (const auto* request =
           std::get_if<peer::StepDownRequest>(&envelope.message)) {
-    return m_failover.Handle(*request);
+    return m_failover.Handle(envelope, *request);
+  }
+  if (const auto* report =
+          std::get_if<peer::StepDownReport>(&envelope.message)) {
+    return m_failover.Handle(*report);
   }
   if (const auto* hold = std::get_if<peer::CommitHold>(&envelope.message)) {
     return m_guard.Handle(envelope, *hold);
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -282,14 +282,35 @@
            : kSilentStepDownTimeout);
   job->stepped_down_at.reset();
   job->pause_term = std::max(job->pause_term, job->newest_term + 1);
+  job->step_down_term = job->pause_term;
   SendAdminRequest(group, primary, relay::Verb::kStepDown, job->pause_term);
   m_peer_messages.push_back(
       peer::StepDownRequest{group, primary, job->pause_term});
 }
 
-void PrimaryFailover::Handle(const peer::StepDownRequest& request) {
+void PrimaryFailover::Handle(const peer::Envelope& envelope,
+                             const peer::StepDownRequest& request) {
   SendAdminRequest(request.group, request.endpoint, relay::Verb::kStepDown,
-                   request.term);
+                   request.term, envelope.from_address);
+}
+
+void PrimaryFailover::Handle(const peer::StepDownReport& report) {
+  const auto found = m_jobs.find(report.group);
+  if (found == m_jobs.end()) return;
+  auto& job = found->second;
+  const bool acting = job.stage == Stage::kSteppingDown ||
+                      job.stage == Stage::kPausing ||
+                      job.stage == Stage::kAwaitingHold;
+  if (!acting || report.endpoint != job.old_primary) return;
+  if (report.term != job.step_down_term) return;
+  RecordStepDown(&job, report.received);
+}
+
+void PrimaryFailover::RecordStepDown(Job* job, const GroupPosition& received) {
+  job->primary_stepped_down = true;
+  if (job->stage != Stage::kSteppingDown || job->stepped_down_at) return;
+  job->stepped_down_at = received;
+  job->pause_not_before = m_clock->Now() + kLogDeliveryTime;
 }
 
 void PrimaryFailover::Handle(const peer::CommitReport& report) {
@@ -352,6 +373,15 @@
   const auto pending_request = it->second;
   const auto& group = pending_request.group;
   m_admin_requests.erase(it);
+  if (!pending_request.for_address.empty()) {
+    const auto& status = event.result.status;
+    if (!event.answered || !status || status->primary) return;
+    m_actions.push_back(
+        SendPeer{pending_request.for_address,
+                 peer::StepDownReport{group, event.endpoint,
+                                      pending_request.term, status->received}});
+    return;
+  }
   m_history.RecordAnswer(event);
   auto& job = m_jobs[group];
   if (pending_request.verb == relay::Verb::kContinue) {
@@ -385,22 +415,19 @@
       pending_request.verb == relay::Verb::kStepDown) {
     const auto& answer = event.result.status;
     if (answer && !answer->primary) {
-      job.stepped_down_at = answer->received;
-      job.primary_stepped_down = true;
-      job.pause_not_before = m_clock->Now() + kLogDeliveryTime;
-      return;
+      return RecordStepDown(&job, answer->received);
     }
-    if (job.reason != kReasonLeaving && !event.answered) return;
-    if (event.answered && answer && job.pause_term <= job.newest_term) {
+    // Another host may reach it.
+    if (!event.answered) return;
+    if (answer && job.pause_term <= job.newest_term) {
       // The requested term was too low; the answer contains the newest one.
       return StartStepDown(group, &job);
     }
     // A busy primary is asked again until the stage ends.
-    if (event.answered && !answer) {
+    if (!answer) {
       return SendAdminRequest(group, event.endpoint, relay::Verb::kStepDown,
                               job.pause_term);
     }
-    // The primary is down or unreachable, so only the replicas are compared.
     return StartPause(group, &job);
   }
   if (job.stage != Stage::kPausing) return;
@@ -595,9 +622,10 @@
 
 void PrimaryFailover::SendAdminRequest(const GroupId& group,
                                        const EndpointId& endpoint,
-                                       relay::Verb verb, Term term) {
+                                       relay::Verb verb, Term term,
+                                       const std::string& for_address) {
   const auto id = m_next_admin_id++;
-  m_admin_requests[id] = {group, verb};
+  m_admin_requests[id] = {group, verb, term, for_address};
   m_actions.push_back(relay::AdminRequest{id, endpoint, verb, term});
 }
 
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -72,7 +72,10 @@
   void Handle(const RowWritten& event);
   void Handle(const PromoteAnswered& event);
   // Handles a request from another host to step down a primary.
-  void Handle(const peer::StepDownRequest& request);
+  void Handle(const peer::Envelope& envelope,
+              const peer::StepDownRequest& request);
+  // Another host has made the primary step down for this one.
+  void Handle(const peer::StepDownReport& report);
   void Handle(const peer::CommitReport& report);
   // Records that the store has begun a new era. Claims of earlier ones may be
   // lost.
@@ -140,6 +143,7 @@
     std::map<EndpointId, std::optional<relay::EndpointStatus>> pause_answers;
     int pause_refusals = 0;
     Term pause_term = 0;
+    Term step_down_term = 0;
     // The primary when the job started. The job never waits for it.
     EndpointId old_primary;
     // Replicas that were probed, and those of them that have not answered.
@@ -273,10 +277,15 @@
   struct PendingAdminRequest {
     GroupId group;
     relay::Verb verb = relay::Verb::kStatus;
+    Term term = 0;
+    // Host on whose behalf it was sent; empty: this one.
+    std::string for_address;
   };
   std::map<std::uint64_t, PendingAdminRequest> m_admin_requests;
   void SendAdminRequest(const GroupId& group, const EndpointId& endpoint,
-                        relay::Verb verb, Term term);
+                        relay::Verb verb, Term term,
+                        const std::string& for_address = {});
+  void RecordStepDown(Job* job, const GroupPosition& received);
   std::uint64_t m_next_admin_id = 1;
   bool m_reading_claims = false;
   bool m_tables_current = false;
--- a/Source/Peer/peer_messages.cc
+++ b/Source/Peer/peer_messages.cc
@@ -38,7 +38,8 @@
                      "commit_hold",
                      "commit_report",
                      "lease_query",
-                     "lease_grant"};
+                     "lease_grant",
+                     "step_down_report"};
 
 constexpr Json::ArrayIndex kMaxListItems = 2048;
 
@@ -264,6 +265,19 @@
   *message = {StringOr(json, "group"), StringOr(json, "endpoint"),
               UintOr(json, "term")};
 }
+void EncodeBody(const StepDownReport& message, Json::Value* out) {
+  (*out)["group"] = message.group;
+  (*out)["endpoint"] = message.endpoint;
+  (*out)["term"] = JsonUint(message.term);
+  (*out)["log_term"] = JsonUint(message.received.term);
+  (*out)["position"] = JsonUint(message.received.position);
+}
+void DecodeBody(const Json::Value& json, StepDownReport* message) {
+  *message = {StringOr(json, "group"),
+              StringOr(json, "endpoint"),
+              UintOr(json, "term"),
+              {UintOr(json, "log_term"), UintOr(json, "position")}};
+}
 void EncodeBody(const CommitHold& message, Json::Value* out) {
   *out = ToJson(message);
 }
--- a/Source/Peer/peer_messages.h
+++ b/Source/Peer/peer_messages.h
@@ -155,6 +155,15 @@
   Term term = 0;
 };
 
+// The endpoint has stepped down in this term, as the receiver has asked for.
+// Its log ends at `received`.
+struct StepDownReport {
+  GroupId group;
+  EndpointId endpoint;
+  Term term = 0;
+  GroupPosition received;
+};
+
 // Asks the receiver to pass on no commits of the group: its primary is being
 // replaced under the claim with this token.
 struct CommitHold {
@@ -199,7 +208,7 @@
                  limits::TokenRequest, limits::TokenGrant, limits::UnitRequest,
                  limits::UnitGrant, limits::UnitReturn, limits::UnitRecall,
                  TableDigest, TableCopy, StepDownRequest, CommitHold,
-                 CommitReport, LeaseQuery, LeaseGrant>;
+                 CommitReport, LeaseQuery, LeaseGrant, StepDownReport>;
 
 struct Envelope {
   HostId from;
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -480,11 +480,15 @@
   connection->state = ConnectionState::kIdle;
   connection->idle_since = Now();
   const auto endpoint = connection->endpoint;
+  const auto id = connection->id;
+  // What waits for the endpoint runs first, also if it is leaving.
+  DispatchWaiting(endpoint);
+  const auto* released = FindConnection(id);
+  if (released == nullptr || released->state != ConnectionState::kIdle) return;
   const auto* listed = FindEndpoint(endpoint);
   if (listed == nullptr || (listed->leaving && !listed->primary)) {
-    CloseAndRemove(connection->id);
+    CloseAndRemove(id);
   }
-  DispatchWaiting(endpoint);
 }
 
 // ---- maintenance
--- a/Source/UnitTests/Fleet/primary_failover_test.cc
+++ b/Source/UnitTests/Fleet/primary_failover_test.cc
@@ -506,6 +506,27 @@
   EXPECT_TRUE(simulation.AllReplicasResumed());
 }
 
+// The only host that reached a leaving primary made it step down for the host
+// that replaced it, but the answer stayed there: the attempts were given up, and
+// the primary led no more (issue 36).
+TEST(Failover, StepDownThroughAnotherHostIsKnownToTheHolder) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    FleetSimulation simulation(5, 4, seed);
+    simulation.Run(seconds(20));
+    simulation.Endpoints().at("e3").alive = false;
+    simulation.WriteEndpointRow("e3");
+    simulation.cut_off_from_primary = {0, 1, 2, 3};
+    simulation.cut_off_from_store = {4};
+    simulation.Endpoints().at("e0").leaving = true;
+    simulation.WriteEndpointRow("e0");
+    for (int i = 0; i < 160 && simulation.promotions == 0; ++i) {
+      simulation.Run(Milliseconds(25));
+    }
+    EXPECT_EQ(simulation.promotions, 1) << simulation.TraceText();
+    EXPECT_TRUE(simulation.lost_commits.empty()) << simulation.TraceText();
+  }
+}
+
 // A busy replica counted as probed, and as one of a newer term: the replicas
 // that had been paused were paused again, each time in a higher term.
 TEST(Failover, BusyReplicaIsAskedAgain) {
--- a/Source/UnitTests/Peer/peer_messages_test.cc
+++ b/Source/UnitTests/Peer/peer_messages_test.cc
@@ -45,6 +45,7 @@
       CommitHold{"g", 7, "h1", "e2", false},
       LeaseQuery{4},
       LeaseGrant{4, {{"g", 7, "h1", "", true}}},
+      StepDownReport{"g", "e", 29, {28, 7}},
       CommitReport{"g", {29, 30}, 31, {{"h2", Milliseconds(40)}}}};
 }
 
--- a/Source/UnitTests/Relay/shared_pool_test.cc
+++ b/Source/UnitTests/Relay/shared_pool_test.cc
@@ -365,6 +365,20 @@
 }
 
 // The sender has to learn soon that it must ask another host.
+// A connection to a leaving replica was closed as soon as it was open, and no
+// statement that waited for it ran (issue 36).
+TEST(SharedPool, AdministrativeStatementRunsAtALeavingReplica) {
+  PoolBench bench;
+  auto& endpoint = bench.directory.endpoints.at("p");
+  endpoint.leaving = true;
+  endpoint.primary = false;
+  bench.Handle(
+      DirectoryChanged{std::make_shared<const Directory>(bench.directory)});
+  bench.Submit(bench.Open("w1"), Verb::kStatus, "STATUS");
+  ASSERT_EQ(bench.statements.size(), 1U);
+  EXPECT_EQ(bench.statements[0].statement.verb, Verb::kStatus);
+}
+
 TEST(SharedPool, AdministrativeStatementIsRefusedAtOnceByAHostWithoutOne) {
   PoolBench bench;
   bench.refuse_connections = true;
