Counters for attempts that are given up, by reason

Change: reasons are an enum with names and texts; failover_given_up_NAME counts each. Claims carry how many came before them since the last change of primary, and failover_claimed names it.

--- a/Source/Fleet/claim_row.cc
+++ b/Source/Fleet/claim_row.cc
@@ -16,6 +16,7 @@
   out["acknowledged_term"] = Json::UInt64(claim.acknowledged.term);
   out["acknowledged_position"] = Json::UInt64(claim.acknowledged.position);
   out["era"] = Json::UInt64(claim.era);
+  out["failed_before"] = Json::UInt64(claim.failed_before);
   return ToText(out);
 }
 
@@ -31,7 +32,8 @@
       StringOr(row, "target"),
       BoolOr(row, "settled"),
       {UintOr(row, "acknowledged_term"), UintOr(row, "acknowledged_position")},
-      UintOr(row, "era")};
+      UintOr(row, "era"),
+      UintOr(row, "failed_before")};
 }
 
 }  // namespace tiller::fleet
--- a/Source/Fleet/claim_row.h
+++ b/Source/Fleet/claim_row.h
@@ -23,6 +23,8 @@
   bool settled = false;
   GroupPosition acknowledged;  // as known to the hosts that have held it
   StoreEra era = 0;            // in which it was made
+  // Claims of the group since the last one that was finished with a promotion.
+  std::uint64_t failed_before = 0;
 };
 
 std::string Encode(const ClaimRow& claim);
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -5,6 +5,7 @@
 
 #include "Common/json.h"
 #include "Common/log.h"
+#include "Common/names.h"
 #include "Fleet/primary_failover.h"
 
 namespace tiller::fleet {
@@ -59,7 +60,7 @@
   for (auto& [group, job] : m_jobs) {
     if (job.stage != Stage::kReadingClaim) continue;
     if (event.status != StoreStatus::kDone) {
-      GiveUp(group, &job, "store did not answer");
+      GiveUp(group, &job, GiveUpReason::kNoStore);
       continue;
     }
     auto& claim = claims[group];
@@ -122,7 +123,17 @@
     return PostponeClaim(job);
   }
   const auto token = std::max(claim.token, m_era * kTokensPerEra) + 1;
-  job->claim = {{m_self, token, now, false, {}, false, {}, m_era},
+  const bool first =
+      claim.holder.empty() || (claim.finished && !claim.target.empty());
+  job->claim = {{m_self,
+                 token,
+                 now,
+                 false,
+                 {},
+                 false,
+                 {},
+                 m_era,
+                 first ? 0 : claim.failed_before + 1},
                 claim.version};
   job->commits_held = false;
   job->target_allowed = false;
@@ -223,9 +234,13 @@
   return true;
 }
 
-void PrimaryFailover::GiveUp(const GroupId& group, Job* job,
-                             const std::string& reason) {
+void PrimaryFailover::GiveUp(const GroupId& group, Job* job, GiveUpReason why,
+                             const EndpointId& endpoint) {
+  const std::string name(NameOf(kGiveUpNames, why));
+  const std::string text(NameOf(kGiveUpTexts, why));
+  const auto reason = endpoint.empty() ? text : endpoint + " did not answer";
   m_counters->Add("failover_given_up");
+  m_counters->Add("failover_given_up_" + name);
   log::Event(log::Channel::kFailover, log::Level::kWarn, "failover_given_up",
              {{"group", group},
               {"reason", reason},
--- a/Source/Fleet/failover_probe.cc
+++ b/Source/Fleet/failover_probe.cc
@@ -55,7 +55,7 @@
   m_confirmed_primaries.emplace_back(group, std::exchange(job->leader, {}));
   job->primary_stepped_down = false;
   if (job->stage != Stage::kAskingOthers) {
-    GiveUp(group, job, "another endpoint leads the group");
+    GiveUp(group, job, GiveUpReason::kOtherLeads);
   }
   job->stage = Stage::kIdle;
   job->suspected_since = {};
@@ -79,7 +79,7 @@
   }
   job->probed_replicas = job->unanswered_probes;
   if (job->unanswered_probes.empty()) {
-    return GiveUp(group, job, "no replica is listed");
+    return GiveUp(group, job, GiveUpReason::kNoReplica);
   }
   for (const auto &id : job->unanswered_probes) {
     SendAdminRequest(group, id, relay::Verb::kStatus, 0);
@@ -96,7 +96,7 @@
     if (EndIfLed(group, job)) return;
     if (!m_history.NeverAnswers(event.endpoint) ||
         job->probed_replicas.size() == 1) {
-      return GiveUp(group, job, event.endpoint + " did not answer");
+      return GiveUp(group, job, GiveUpReason::kReplicaSilent, event.endpoint);
     }
     job->probed_replicas.erase(event.endpoint);
     m_counters->Add("failover_replica_left_out");
--- a/Source/Fleet/primary_failover.cc
+++ b/Source/Fleet/primary_failover.cc
@@ -160,13 +160,13 @@
       return;
     case Stage::kReadingClaim:
     case Stage::kClaiming:
-      if (overdue) GiveUp(group, job, "store did not answer");
+      if (overdue) GiveUp(group, job, GiveUpReason::kNoStore);
       return;
     case Stage::kProbing:
       if (!overdue || EndIfLed(group, job)) return;
-      return GiveUp(group, job, "a replica did not answer");
+      return GiveUp(group, job, GiveUpReason::kReplicaSilent);
     case Stage::kPausing:
-      if (overdue) GiveUp(group, job, "a replica did not answer");
+      if (overdue) GiveUp(group, job, GiveUpReason::kReplicaSilent);
       return;
     case Stage::kSteppingDown: {
       const bool log_delivered =
@@ -175,10 +175,11 @@
       return;
     }
     case Stage::kAwaitingHold:
-      if (overdue) return GiveUp(group, job, "a host may pass on commits");
+      if (overdue) return GiveUp(group, job, GiveUpReason::kCommitsNotHeld);
       return MaybeChooseTarget(group, job);
     case Stage::kPromoting:
-      if (overdue) return GiveUp(group, job, "promotion got no answer");
+      if (overdue)
+        return GiveUp(group, job, GiveUpReason::kPromotionUnanswered);
       if (now < job->next_promote_at || job->promote_outstanding) return;
       if (EnsureClaimFresh(group, job)) SendPromote(group, job);
       return;
@@ -247,7 +248,7 @@
     if (event.status != StoreStatus::kDone) {
       // The claim may have been written although the answer was lost. The next
       // read shows this. A new claim has a new token in either case.
-      return GiveUp(group, &job, "claim was not confirmed");
+      return GiveUp(group, &job, GiveUpReason::kClaimRefused);
     }
     job.claim.version = event.version;
     job.claim.claimed_at = event.now;
@@ -255,7 +256,8 @@
     log::Event(log::Channel::kFailover, log::Level::kInfo, "failover_claimed",
                {{"group", group},
                 {"reason", job.reason},
-                {"token", std::to_string(job.claim.token)}});
+                {"token", std::to_string(job.claim.token)},
+                {"failed_before", std::to_string(job.claim.failed_before)}});
     // The directory may have changed since the primary was suspected.
     job.target = m_directory->groups.at(group).primary;
     const bool primary_serves =
@@ -338,7 +340,7 @@
   // other replicas are compared to.
   if (!job->keeps_primary && !job->stepped_down_at &&
       m_history.HasGone(group)) {
-    return GiveUp(group, job, "a replica that may have commits is gone");
+    return GiveUp(group, job, GiveUpReason::kReplicaGone);
   }
   // Otherwise the listed replicas together have all acknowledged commits, and
   // the end of the primary's log does not matter.
@@ -464,7 +466,7 @@
     if (EndIfLed(group, &job)) return;
   }
   if (++job.pause_refusals >= kMaxPauseRefusals) {
-    return GiveUp(group, &job, "a replica did not pause");
+    return GiveUp(group, &job, GiveUpReason::kReplicaNotPaused);
   }
   if (status && status->primary) {
     job.pause_term = std::max(job.pause_term, job.newest_term + 1);
@@ -522,7 +524,7 @@
     job->target = primary->first;
     m_counters->Add("failover_reverted");
   } else if (AwaitsCommits(group, job, best->second->received)) {
-    return GiveUp(group, job, "no endpoint that answers has all commits");
+    return GiveUp(group, job, GiveUpReason::kCommitsMissing);
   }
   StartPromoting(group, job);
   std::string compared;
@@ -603,7 +605,7 @@
         }
         return;
       case PromoteStatus::kFenced:
-        return GiveUp(group, &job, "fenced, or the target does not run");
+        return GiveUp(group, &job, GiveUpReason::kPromotionRefused);
       case PromoteStatus::kUnknown:
         job.promotion_pending = true;
         [[fallthrough]];
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -35,10 +35,12 @@
 //   time to take effect.
 #pragma once
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -54,6 +56,39 @@
 
 inline constexpr char kReasonUnfinished[] = "unfinished";
 
+// Why an attempt to replace a primary was given up.
+enum class GiveUpReason {
+  kNoStore,
+  kClaimRefused,
+  kNoReplica,
+  kReplicaSilent,
+  kReplicaNotPaused,
+  kReplicaGone,
+  kCommitsMissing,
+  kCommitsNotHeld,
+  kPromotionUnanswered,
+  kPromotionRefused,
+  kOtherLeads
+};
+// As in the names of counters, and in log lines.
+inline constexpr std::array<std::string_view, 11> kGiveUpNames = {
+    "no_store",          "claim_refused",      "no_replica",
+    "replica_silent",    "replica_not_paused", "replica_gone",
+    "commits_missing",   "commits_not_held",   "promotion_unanswered",
+    "promotion_refused", "other_leads"};
+inline constexpr std::array<std::string_view, 11> kGiveUpTexts = {
+    "store did not answer",
+    "claim was not confirmed",
+    "no replica is listed",
+    "a replica did not answer",
+    "a replica did not pause",
+    "a replica that may have commits is gone",
+    "no endpoint that answers has all commits",
+    "a host may pass on commits",
+    "promotion got no answer",
+    "fenced, or the target does not run",
+    "another endpoint leads the group"};
+
 class PrimaryFailover {
  public:
   PrimaryFailover(HostId self, ZoneId zone, CommitGuard* guard,
@@ -257,7 +292,9 @@
   bool RestorePrimary(const GroupId& group, Job* job,
                       const std::string& reason);
   // Resumes the paused replicas and delays the next attempt.
-  void GiveUp(const GroupId& group, Job* job, const std::string& reason);
+  // `endpoint`: the one that did not answer, if it was a certain one.
+  void GiveUp(const GroupId& group, Job* job, GiveUpReason why,
+              const EndpointId& endpoint = {});
   void StartResume(const GroupId& group, Job* job);
   void Resume(const GroupId& group, Job* job);
   void CheckClaimAgain(Job* job);
--- a/Source/UnitTests/Fleet/commit_guard_network_test.cc
+++ b/Source/UnitTests/Fleet/commit_guard_network_test.cc
@@ -72,7 +72,7 @@
     simulation.cut_off_from_store = {0};
     simulation.Run(seconds(120));
 
-    EXPECT_TRUE(simulation.PrimaryId() == "e0");
+    EXPECT_EQ(simulation.PrimaryId(), "e0");
     EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
     simulation.cut_off_from_primary = {1, 2, 3, 4, 5};
     WaitForPromotionCall(&simulation);
@@ -202,7 +202,7 @@
           SeatIdentity{name, name, name, host.zone}, &m_clock, &m_random);
       host.seats->Confirm(StoreTime(1'000));
       auto known = rows;
-      std::erase_if(known, [&](const auto& item) {
+      std::erase_if(known, [&, name = name](const auto& item) {
         return m_unknown_to.count({name, holders.at(item.first)}) > 0;
       });
       host.seats->Update(known, 1);
