A fleet that starts takes few commit leases from the store

Change: hosts that have had no lease yet wait longer, and differently long, for other hosts. A few take one from the store and grant the others theirs.

--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -20,6 +20,9 @@
 // is asked as well.
 constexpr Milliseconds kStoreAfter{250};
 constexpr Milliseconds kStoreSpread{250};
+// The same for hosts that have just started: in a fleet that starts, a few take
+// leases from the store, and the others get theirs from these.
+constexpr Milliseconds kFirstStoreSpread{4'000};
 constexpr Milliseconds kStoreInterval{400};
 constexpr Milliseconds kStoreAnswerLimit{600};
 
@@ -41,8 +44,10 @@
   m_queries[query.nonce] = m_clock->Now();
   if (!m_asked_since) {
     m_asked_since = m_clock->Now();
-    m_store_after = kStoreAfter +
-                    Milliseconds(m_random->UniformBelow(kStoreSpread.count()));
+    const auto spread = m_informed ? kStoreSpread : kFirstStoreSpread;
+    m_store_after =
+        kStoreAfter + Milliseconds(m_random->UniformBelow(
+                          static_cast<std::uint64_t>(spread.count())));
   }
   m_counters->Add("commit_lease_queries");
   m_actions.push_back(SendPeer{host.address, query});
