--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -6,6 +6,7 @@
 
 #include "Common/json.h"
 #include "Common/names.h"
+#include "Fleet/claim_row.h"
 
 namespace tiller::fleet {
 namespace {
@@ -63,6 +64,7 @@
   for (int i = 0; i < hosts; ++i) {
     m_hosts.push_back(std::make_unique<Host>());
     m_hosts.back()->name = "h" + std::to_string(i);
+    m_hosts_by_address[m_hosts.back()->name + ":9"] = i;
     Start(i);
   }
 }
@@ -299,10 +301,8 @@
 
 void FleetSimulation::Execute(int host, const Action& action) {
   auto& state = *m_hosts[static_cast<std::size_t>(host)];
-  store_calls += std::holds_alternative<ReadTable>(action) ||
-                 std::holds_alternative<FollowTable>(action) ||
-                 std::holds_alternative<WriteRow>(action);
   if (const auto* read = std::get_if<ReadTable>(&action)) {
+    CountStoreCall(read->table);
     TableRead event;
     event.table = read->table;
     event.call = read->call;
@@ -315,9 +315,11 @@
     }
     DeliverStoreAnswer(host, event, read->answer_limit);
   } else if (const auto* follow = std::get_if<FollowTable>(&action)) {
+    CountStoreCall(follow->table);
     m_long_polls.push_back(
         {host, state.generation, *follow, clock.Now() + follow->wait});
   } else if (const auto* write = std::get_if<WriteRow>(&action)) {
+    CountStoreCall(write->table);
     RowWritten event;
     event.call = write->call;
     event.expected = write->expected;
@@ -332,6 +334,7 @@
         PutRow(write->table, write->key, write->value);
         event.status = StoreStatus::kDone;
       }
+      CountClaim(*write, event.status == StoreStatus::kDone);
       Stamp(&event);
       if (lose_one_answer_in > 0 &&
           random.UniformBelow(lose_one_answer_in) == 0) {
@@ -365,16 +368,15 @@
     if (copy != nullptr && copy->table == "config") {
       for (const auto& row : copy->rows) copied_bytes += row.value.size();
     }
-    for (int i = 0; i < HostCount(); ++i) {
-      if (m_hosts[static_cast<std::size_t>(i)]->name + ":9" != peer->address) {
-        continue;
-      }
-      if (IsCut(ZoneOf(host), ZoneOf(i))) continue;
-      if (cut_off_from_hosts.count(host) + cut_off_from_hosts.count(i) > 0) {
-        continue;
-      }
-      Deliver(i, PeerReceived{{state.name, state.name + ":9", peer->message}});
+    ++peer_messages;
+    const auto found = m_hosts_by_address.find(peer->address);
+    if (found == m_hosts_by_address.end()) return;
+    const int to = found->second;
+    if (IsCut(ZoneOf(host), ZoneOf(to))) return;
+    if (cut_off_from_hosts.count(host) + cut_off_from_hosts.count(to) > 0) {
+      return;
     }
+    Deliver(to, PeerReceived{{state.name, state.name + ":9", peer->message}});
   } else if (const auto* publish = std::get_if<PublishDirectory>(&action)) {
     state.directory = publish->directory;
     EndHoldIfTargetLeads(&state);
@@ -395,6 +397,25 @@
   }
 }
 
+void FleetSimulation::CountStoreCall(const std::string& table) {
+  ++store_calls;
+  ++store_calls_of_table[table];
+}
+
+void FleetSimulation::CountClaim(const WriteRow& write, bool written) {
+  if (write.table != kClaimTable) return;
+  const auto claim = DecodeClaim(write.value);
+  if (!claim || claim->token <= m_claim_token) {
+    // An attempt that another host's claim has overtaken has its token, too.
+    claims_tried += claim && !written && !claim->finished;
+    return;
+  }
+  ++claims_tried;
+  if (!written) return;
+  ++claims_made;
+  m_claim_token = claim->token;
+}
+
 void FleetSimulation::AnswerLongPolls() {
   std::vector<LongPoll> still_open;
   for (auto& poll : std::exchange(m_long_polls, {})) {
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -120,6 +120,14 @@
   int promotions = 0;
   // Calls of all hosts to the store.
   int store_calls = 0;
+  // The same for each table.
+  std::map<std::string, int> store_calls_of_table;
+  // Writes of new claims; renewals and ends of claims are not counted. The
+  // second number contains those that took effect only.
+  int claims_tried = 0;
+  int claims_made = 0;
+  // Messages that hosts have sent to each other.
+  int peer_messages = 0;
   // Bytes of the configurations that hosts have sent to each other.
   std::size_t copied_bytes = 0;
   // Requests and events, with the time in milliseconds.
@@ -158,6 +166,8 @@
   void Start(int host);
   void ExecuteActions(int host);
   void Execute(int host, const Action& action);
+  void CountStoreCall(const std::string& table);
+  void CountClaim(const WriteRow& write, bool written);
   void Deliver(int host, Event event, std::uint64_t max_delay_ms = 8);
   // Delivers the answer to a call of the host after a message delay or, if the
   // store leaves the host without an answer, a failure after `answer_limit`.
@@ -189,6 +199,9 @@
 
   TestRecordCodec m_codec;
   std::vector<std::unique_ptr<Host>> m_hosts;
+  std::map<std::string, int> m_hosts_by_address;
+  // The newest claim that was written.
+  std::uint64_t m_claim_token = 0;
   struct StoreContent {
     std::map<std::string, std::map<std::string, Row>> tables;
     std::map<std::string, std::vector<Row>> history;
