--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -85,9 +85,10 @@
     Query((*hosts)[pick]);
     hosts->erase(hosts->begin() + static_cast<std::ptrdiff_t>(pick));
   };
+  const bool one_zone = peers.empty();
   const std::size_t count = urgent ? kUrgentQueries : 1;
   for (std::size_t sent = 0; sent < count; ++sent) query_one(&peers);
-  if (urgent || m_queries.empty()) query_one(&mates);
+  if (urgent || one_zone) query_one(&mates);
 }
 
 std::optional<peer::LeaseGrant> CommitLease::Grant(
