A signal during the start no longer ends a host

The host had just been started again, and the soak's next reload sent it a SIGHUP.

Cause: until the signal set of the control service exists, SIGHUP and SIGTERM have their default action and end the process. Most of this is the time before main(), in which the libraries are loaded and a program can't do anything; the rest is the reading of the settings.

--- a/Source/Programs/tillerd.cc
+++ b/Source/Programs/tillerd.cc
@@ -3,12 +3,14 @@
 #include <string>
 
 #include "Common/log.h"
+#include "Common/signal_block.h"
 #include "Daemon/control_service.h"
 #include "Settings/command_line.h"
 
 int main(int argc, const char** argv) {
   using tiller::daemon::ControlService;
   namespace settings = tiller::settings;
+  tiller::SignalBlock signals;
   std::string settings_file;
   bool check = false;
   bool describe = false;
@@ -42,6 +44,7 @@
     std::fprintf(stderr, "tillerd: %s\n", started.error().detail.c_str());
     return settings::kExitFailure;
   }
+  signals.Release();
   service.Run();
   return settings::kExitSuccess;
 }
