Answers that a shared pool gives itself are not those of the endpoint

What callers would see: a host in a zone that is cut off doesn't notice it, and passes on commits that a promotion outside discards (LOST).

Cause: a shared pool keeps options and prepared statements itself, accepts a session before it has a connection, and refuses what it does not forward. The host took each of these but kAborted and the opening for an answer of the endpoint: the zone counted as connected, and an endpoint that had failed as answering again. While the zone is cut off, pools in other zones fail and are avoided, and the pool is one in the own zone.

Change: one rule, IsFromEndpoint: an answer through a pool is the endpoint's if it reports a log position. It was the rule for administrative statements already.

Tests: PoolAnswer.OptionKeptByThePoolIsNoContact and .RefusalOfThePoolIsNoContact failed before (no isolation within 1 s without an answer of an endpoint), pass now; .AnswerOfTheEndpointIsContact passes before and after. relay_test 121 of 121.

--- a/Source/Relay/admin_flow.cc
+++ b/Source/Relay/admin_flow.cc
@@ -109,7 +109,6 @@
   }
 }
 
-// A pool reports no log position with its own refusals.
 bool RelayCore::RetryRefusedAdmin(std::uint64_t id,
                                   const Connection& connection,
                                   const StatementResult& result) {
@@ -117,7 +116,7 @@
   if (it == m_admin.end() || result.Ok()) return false;
   auto& job = it->second;
   const auto code = std::string(NameOf(kRefusalNames, result.refusal));
-  if (!connection.pool_host_id.empty() && !result.position) {
+  if (!IsFromEndpoint(connection, result)) {
     job.tried_pools.insert(connection.pool_host_id);
     RetryAdmin(&job, connection, "pool_" + code);
     return true;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -183,8 +183,10 @@
 void RelayCore::On(const ConnectionOpened& event) {
   auto* connection = FindConnection(event.connection);
   if (connection == nullptr) return;
-  HealthOf(connection->endpoint).RecordAnswer(Now());
-  RecordContact(*connection, Refusal::kNone);
+  if (connection->pool_host_id.empty()) {
+    HealthOf(connection->endpoint).RecordAnswer(Now());
+    RecordContact(connection->endpoint);
+  }
   StatementResult opened;
   opened.position = event.position;
   RecordPosition(*connection, opened);
@@ -209,7 +211,7 @@
   } else {
     health.RecordConnectionRefused(event.refusal, Now());
     if (event.refusal != Refusal::kNone) {
-      RecordContact(*connection, event.refusal);
+      RecordContact(connection->endpoint);
     }
   }
   m_connections.erase(event.connection);
@@ -312,8 +314,10 @@
 void RelayCore::On(const StatementDone& event) {
   auto* connection = FindConnection(event.connection);
   if (connection == nullptr) return;
-  HealthOf(connection->endpoint).RecordAnswer(Now());
-  RecordContact(*connection, event.result.refusal);
+  if (IsFromEndpoint(*connection, event.result)) {
+    HealthOf(connection->endpoint).RecordAnswer(Now());
+    RecordContact(connection->endpoint);
+  }
   RecordPosition(*connection, event.result);
   if (connection->step == Step::kUser) {
     HealthOf(connection->endpoint)
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -200,7 +200,8 @@
 
   // ---- contact with other zones (zone_isolation.cc)
   bool InOtherZone(const EndpointId& id) const;
-  void RecordContact(const Connection& connection, Refusal refusal);
+  // The endpoint has answered, and not a shared pool in its place.
+  void RecordContact(const EndpointId& endpoint);
   Duration IsolationTimeout() const;
   void CheckIsolation();
   void ProbeOtherZones();
--- a/Source/Relay/relay_state.h
+++ b/Source/Relay/relay_state.h
@@ -138,6 +138,14 @@
   Instant idle_since;
 };
 
+// False if a shared pool may have answered in place of the endpoint: it keeps
+// options and prepared statements, and refuses what it does not forward. It
+// reports no log position then.
+inline bool IsFromEndpoint(const Connection& connection,
+                           const StatementResult& result) {
+  return connection.pool_host_id.empty() || result.position.has_value();
+}
+
 // Other hosts may replace a primary that has been silent for this long.
 inline constexpr Milliseconds kReplaceableAfter{600};
 // A promotion has taken effect this long after it was called.
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -33,13 +33,8 @@
   return endpoint != nullptr && endpoint->zone != m_settings.zone;
 }
 
-// `refusal`: of the answer. A shared pool may refuse on behalf of an endpoint
-// that does not answer.
-void RelayCore::RecordContact(const Connection& connection, Refusal refusal) {
-  const bool by_pool = !connection.pool_host_id.empty() &&
-                       (refusal == Refusal::kAborted ||
-                        connection.state == ConnectionState::kOpening);
-  if (by_pool || !InOtherZone(connection.endpoint)) return;
+void RelayCore::RecordContact(const EndpointId& endpoint) {
+  if (!InOtherZone(endpoint)) return;
   m_zone_contact.RecordAnswer(Now());
   ConfirmCommits(true);
 }
