Fleet simulation split into hosts, store and group

Change: fleet_simulation.cc plays the hosts and their messages, _store.cc the store, _group.cc the endpoints and the platform's promotions. Each kind of action has its own Execute(). No change in behaviour: the same calls of the random source in the same order.

--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -165,7 +165,19 @@
   };
   void Start(int host);
   void ExecuteActions(int host);
-  void Execute(int host, const Action& action);
+  void Execute(int host, const ReadTable& read);
+  void Execute(int host, const FollowTable& follow);
+  void Execute(int host, const WriteRow& write);
+  void Execute(int host, const Promote& promote);
+  void Execute(int host, const SendPeer& send);
+  void Execute(int host, const PublishDirectory& publish);
+  void Execute(int host, const relay::SeatsChanged& change);
+  void Execute(int host, const relay::AdminRequest& request);
+  void Execute(int host, const relay::ShareReceived& share);
+  void Execute(int host, const relay::HoldCommits& hold);
+  void Execute(int host, const relay::CommitLeaseChanged& lease);
+  // Whether the answer to this write or promotion is lost.
+  bool LosesAnswer();
   void CountStoreCall(const std::string& table);
   void CountClaim(const WriteRow& write, bool written);
   void Deliver(int host, Event event, std::uint64_t max_delay_ms = 8);
