Shared pool split into sessions and connections

Change: shared_pool.cc keeps the other hosts' sessions and what concerns the pool as a whole, shared_pool_connections.cc the connections to endpoints. Which statements are administrative stood in the pool and in the endpoint driver; it stands in relay_types.h now. No change in behaviour.

--- a/Source/Relay/relay_types.h
+++ b/Source/Relay/relay_types.h
@@ -44,6 +44,12 @@
     "write",      "set_option", "prepare_read", "prepare_write", "execute",
     "deallocate", "discard",    "status",       "pause",         "continue",
     "step_down",  "invalid"};
+// Whether the statement is one of this service to the endpoint itself, which
+// uses no state of a session.
+constexpr bool IsAdministrative(Verb verb) {
+  return verb == Verb::kStatus || verb == Verb::kPause ||
+         verb == Verb::kContinue || verb == Verb::kStepDown;
+}
 
 struct Statement {
   Verb verb = Verb::kInvalid;
--- /dev/null
+++ b/Source/Relay/shared_pool_connections.cc
@@ -0,0 +1,390 @@
+// The shared pool's connections to endpoints: which session gets which one, and
+// the steps that run on it.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Common/names.h"
+#include "Relay/connection_setup.h"
+#include "Relay/connection_table.h"
+#include "Relay/dispatch_order.h"
+#include "Relay/endpoint_silence.h"
+#include "Relay/shared_pool.h"
+
+namespace tiller::relay {
+namespace {
+
+constexpr Milliseconds kSetupStepTimeout{300};
+// Opening a connection includes a handshake in one of the endpoint's slots.
+constexpr Milliseconds kOpenTimeout{700};
+// Hosts time out a statement earlier than this and close their session.
+constexpr Milliseconds kStatementTimeout{3'000};
+// Statements for an endpoint that has not answered for this long are refused
+// without being sent: the outcome of a write would be in doubt, whereas a
+// refused statement can still run elsewhere.
+constexpr Milliseconds kRefuseAfterSilence{300};
+// An endpoint that has not answered for this long is reported to the relay.
+constexpr Milliseconds kReportSilenceAfter{250};
+// Fraction of an endpoint's connections that one host may hold, so that
+// connections remain for workspaces that another host serves.
+constexpr double kMaxFractionPerHost = 0.5;
+// Idle connections above this fraction of the host's even share are closed
+// after kIdleTimeout.
+constexpr double kIdleFraction = 0.5;
+constexpr Milliseconds kIdleTimeout{200};
+
+}  // namespace
+
+Connection* SharedPool::FindConnection(ConnectionId id) {
+  const auto it = m_connections.find(id);
+  return it == m_connections.end() ? nullptr : &it->second;
+}
+
+void SharedPool::AssignConnection(PoolSession* session) {
+  const auto* endpoint = FindEndpoint(session->endpoint);
+  if (endpoint == nullptr) {
+    return Refuse(session, Refusal::kMisrouted, "endpoint is gone");
+  }
+  const bool administrative =
+      IsAdministrative(session->pending->statement.verb);
+  if (!administrative && SilenceOf(endpoint->id) > kRefuseAfterSilence) {
+    return Refuse(session, Refusal::kAborted, "endpoint is silent");
+  }
+  auto* connection =
+      FindIdle(&m_connections, session->endpoint, session->workspace);
+  if (connection == nullptr && administrative) {
+    connection = FindIdleOfAny(&m_connections, session->endpoint);
+    if (connection != nullptr) m_counters->Add("pool_admin_borrowed");
+  }
+  if (connection == nullptr) {
+    if (TryOpenConnection(*session, *endpoint) || !administrative) return;
+    const bool holds_one = std::any_of(
+        m_connections.begin(), m_connections.end(), [&](const auto& item) {
+          return item.second.endpoint == session->endpoint;
+        });
+    if (holds_one) return;
+    m_counters->Add("pool_admin_refused_none_held");
+    return Refuse(session, Refusal::kBusy, "no connection");
+  }
+  connection->state = ConnectionState::kBusy;
+  connection->session_id = session->id;
+  session->connection = connection->id;
+  SendNextStep(connection, session);
+}
+
+std::size_t SharedPool::MaxPerHost(const Endpoint& endpoint) const {
+  const auto group = m_directory->groups.find(endpoint.group);
+  if (group == m_directory->groups.end()) return 0;
+  const auto max_per_host = static_cast<std::size_t>(
+      static_cast<double>(group->second.max_connections) * kMaxFractionPerHost);
+  return std::max<std::size_t>(max_per_host, 1);
+}
+
+// Opens a connection for the session's workspace and returns true, unless as
+// many are already being opened as sessions wait, the endpoint has refused one
+// recently, or this host is at its limit and has no idle connection to evict.
+bool SharedPool::TryOpenConnection(const PoolSession& session,
+                                   const Endpoint& endpoint) {
+  std::size_t held = 0;
+  std::size_t opening = 0;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != endpoint.id) continue;
+    ++held;
+    opening += connection.state == ConnectionState::kOpening &&
+                       connection.workspace == session.workspace
+                   ? 1
+                   : 0;
+  }
+  const auto waiting = static_cast<std::size_t>(std::count_if(
+      m_sessions.begin(), m_sessions.end(), [&](const auto& item) {
+        const auto& other = item.second;
+        return other.pending && other.connection == 0 &&
+               other.endpoint == endpoint.id &&
+               other.workspace == session.workspace;
+      }));
+  auto& health = m_health[endpoint.id];
+  if (opening >= waiting || health.RefusedRecently(Now())) return false;
+  if (held >= MaxPerHost(endpoint) && !EvictIdle(endpoint.id)) return false;
+  const auto id = m_next_connection++;
+  auto& connection = m_connections[id];
+  connection.id = id;
+  connection.endpoint = endpoint.id;
+  connection.group = endpoint.group;
+  connection.workspace = session.workspace;
+  connection.step_sent = Now();
+  connection.step_deadline = Now() + kOpenTimeout;
+  m_counters->Add("pool_connections_opened");
+  m_actions.push_back(OpenConnection{id, endpoint.id, endpoint.address,
+                                     endpoint.group, session.workspace});
+  return true;
+}
+
+// Closes the connection that has been idle longest, to make room for another
+// workspace's. Returns false if none is idle.
+bool SharedPool::EvictIdle(const EndpointId& endpoint) {
+  const auto oldest = LongestIdle(m_connections, endpoint);
+  if (!oldest) return false;
+  m_counters->Add("pool_connections_evicted");
+  CloseAndRemove(*oldest);
+  return true;
+}
+
+void SharedPool::DispatchWaiting(const EndpointId& endpoint) {
+  std::vector<WaitingRequest> requests;
+  std::vector<std::pair<Instant, SessionId>> administrative;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.pending || session.connection != 0) continue;
+    if (session.endpoint != endpoint) continue;
+    if (IsAdministrative(session.pending->statement.verb)) {
+      administrative.emplace_back(session.arrived, id);
+      continue;
+    }
+    requests.push_back({id, session.workspace, 0, session.arrived, false});
+  }
+  std::sort(administrative.begin(), administrative.end());
+  for (const auto& [arrived, id] : administrative) {
+    AssignConnection(FindSession(id));
+  }
+  if (requests.empty()) return;
+  std::map<WorkspaceId, std::size_t> in_service;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.endpoint != endpoint) continue;
+    if (connection.state == ConnectionState::kIdle) continue;
+    ++in_service[connection.workspace];
+  }
+  for (const auto id : DispatchOrder(std::move(requests), in_service)) {
+    auto* session = FindSession(id);
+    if (session == nullptr || !session->pending || session->connection != 0) {
+      continue;
+    }
+    AssignConnection(session);
+  }
+}
+
+void SharedPool::SendNextStep(Connection* connection, PoolSession* session) {
+  const auto& event = *session->pending;
+  const auto verb = event.statement.verb;
+  connection->state = ConnectionState::kBusy;
+  const auto* execute = verb == Verb::kExecute
+                            ? &session->prepared.at(event.statement.name)
+                            : nullptr;
+  if (!IsAdministrative(verb)) {
+    if (auto setup = NextSetupStep(*connection, session->options, execute)) {
+      SendStatement action;
+      action.statement = std::move(setup->statement);
+      return Send(connection, setup->step, std::move(action),
+                  kSetupStepTimeout);
+    }
+  }
+  SendStatement action;
+  action.id = event.request_id;
+  action.statement = event.statement;
+  if (execute != nullptr) action.statement.name = SharedStatementName(*execute);
+  action.after = event.after;
+  action.term = event.term;
+  Send(connection, Step::kUser, std::move(action), kStatementTimeout);
+}
+
+void SharedPool::Send(Connection* connection, Step step, SendStatement action,
+                      Duration limit) {
+  connection->step = step;
+  connection->sent = action.statement;
+  connection->step_sent = Now();
+  connection->step_deadline = Now() + limit;
+  action.connection = connection->id;
+  m_actions.push_back(std::move(action));
+}
+
+void SharedPool::On(const ConnectionOpened& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  m_health[connection->endpoint].RecordAnswer(Now());
+  Release(connection);
+}
+
+void SharedPool::On(const ConnectionRefused& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  const auto endpoint = connection->endpoint;
+  m_connections.erase(event.connection);
+  m_counters->Add("pool_connections_refused_" +
+                  std::string(NameOf(kRefusalNames, event.refusal)));
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo,
+             "pool_connection_refused",
+             {{"endpoint", endpoint},
+              {"code", std::string(NameOf(kRefusalNames, event.refusal))},
+              {"detail", event.detail}});
+  m_health[endpoint].RecordConnectionRefused(event.refusal, Now());
+  DispatchWaiting(endpoint);
+}
+
+void SharedPool::On(const ConnectionLost& event) {
+  HandleConnectionLoss(event.connection, false, event.detail);
+}
+
+void SharedPool::HandleConnectionLoss(ConnectionId id, bool silent,
+                                      const std::string& reason) {
+  auto* found = FindConnection(id);
+  if (found == nullptr) return;
+  const Connection connection = *found;
+  m_connections.erase(id);
+  if (silent) m_actions.push_back(CloseConnection{id});
+  m_counters->Add(silent ? "pool_connections_silent" : "pool_connections_lost");
+  log::Event(log::Channel::kEndpoint, log::Level::kInfo, "pool_connection_lost",
+             {{"endpoint", connection.endpoint},
+              {"silent", silent ? "yes" : "no"},
+              {"detail", reason}});
+  if (connection.state != ConnectionState::kIdle || silent) {
+    m_health[connection.endpoint].RecordFailure(Now());
+  }
+  if (connection.session_id != 0) EndSession(connection.session_id);
+  DispatchWaiting(connection.endpoint);
+}
+
+void SharedPool::CloseAndRemove(ConnectionId id) {
+  m_connections.erase(id);
+  m_actions.push_back(CloseConnection{id});
+}
+
+void SharedPool::On(const StatementDone& event) {
+  auto* connection = FindConnection(event.connection);
+  if (connection == nullptr) return;
+  m_health[connection->endpoint].RecordAnswer(Now());
+  switch (connection->step) {
+    case Step::kUser:
+      return OnUserResult(connection, event.result);
+    case Step::kRollback:
+      if (!event.result.Ok()) {
+        // The transaction may still be open.
+        const auto endpoint = connection->endpoint;
+        CloseAndRemove(event.connection);
+        return DispatchWaiting(endpoint);
+      }
+      connection->in_transaction = false;
+      connection->dirty |=
+          std::exchange(connection->options_in_transaction, false);
+      return Release(connection);
+    default:
+      break;
+  }
+  auto* session = FindSession(connection->session_id);
+  if (!event.result.Ok()) {
+    // The state of the connection is unknown after a failed setup step.
+    const auto endpoint = connection->endpoint;
+    CloseAndRemove(event.connection);
+    if (session != nullptr) EndSession(session->id);
+    return DispatchWaiting(endpoint);
+  }
+  RecordSetupStep(connection, connection->step);
+  if (session == nullptr || !session->pending) return Release(connection);
+  SendNextStep(connection, session);
+}
+
+void SharedPool::OnUserResult(Connection* connection,
+                              const StatementResult& result) {
+  const auto verb = connection->sent.verb;
+  if (verb == Verb::kWrite || verb == Verb::kCommit) {
+    m_last_write_answer[connection->endpoint] = Now();
+  }
+  connection->in_transaction = result.state != TxState::kIdle;
+  if (!connection->in_transaction) {
+    // Whether options that were set inside a transaction persist depends on
+    // how it ended.
+    connection->dirty |=
+        std::exchange(connection->options_in_transaction, false);
+  }
+  if (result.refusal == Refusal::kNoStatement) connection->dirty = true;
+  auto* session = FindSession(connection->session_id);
+  if (session == nullptr) return Release(connection);
+  session->state = result.state;
+  const auto id = session->id;
+  Answer(session, result);
+  if (connection->in_transaction) {
+    connection->state = ConnectionState::kPinned;
+    connection->step = Step::kNone;
+    return;
+  }
+  Release(connection);
+  if (m_draining) EndSession(id);
+}
+
+// Makes a connection idle; one with an open transaction is rolled back first.
+void SharedPool::Release(Connection* connection) {
+  if (auto* session = FindSession(connection->session_id))
+    session->connection = 0;
+  connection->session_id = 0;
+  if (connection->in_transaction && connection->step != Step::kRollback) {
+    connection->state = ConnectionState::kBusy;
+    SendStatement action;
+    action.statement.verb = Verb::kRollback;
+    return Send(connection, Step::kRollback, std::move(action),
+                kSetupStepTimeout);
+  }
+  connection->step = Step::kNone;
+  connection->state = ConnectionState::kIdle;
+  connection->idle_since = Now();
+  const auto endpoint = connection->endpoint;
+  const auto id = connection->id;
+  // What waits for the endpoint runs first, also if it is leaving.
+  DispatchWaiting(endpoint);
+  const auto* released = FindConnection(id);
+  if (released == nullptr || released->state != ConnectionState::kIdle) return;
+  const auto* listed = FindEndpoint(endpoint);
+  if (listed == nullptr || (listed->leaving && !listed->primary)) {
+    CloseAndRemove(id);
+  }
+}
+
+void SharedPool::ExpireSteps() {
+  for (const auto id : OverdueConnections(m_connections, Now())) {
+    HandleConnectionLoss(id, true, "no answer in time");
+  }
+}
+
+void SharedPool::TrimIdle() {
+  const auto& hosts = m_hosts_by_zone;
+  std::map<EndpointId, std::size_t> kept;
+  std::vector<ConnectionId> surplus;
+  for (const auto* connection : IdleNewestFirst(m_connections)) {
+    const auto* endpoint = FindEndpoint(connection->endpoint);
+    std::size_t allowed = 1;
+    if (endpoint != nullptr && hosts.count(endpoint->zone) > 0) {
+      const auto& group = m_directory->groups.find(endpoint->group);
+      const double limit =
+          group == m_directory->groups.end()
+              ? 0
+              : static_cast<double>(group->second.max_connections);
+      allowed = std::max<std::size_t>(
+          1, static_cast<std::size_t>(
+                 limit * kIdleFraction /
+                 static_cast<double>(hosts.at(endpoint->zone))));
+    }
+    if (++kept[connection->endpoint] <= allowed) continue;
+    if (Now() - connection->idle_since < kIdleTimeout) continue;
+    surplus.push_back(connection->id);
+  }
+  for (const auto id : surplus) CloseAndRemove(id);
+}
+
+Duration SharedPool::SilenceOf(const EndpointId& endpoint) const {
+  const auto health = m_health.find(endpoint);
+  const auto write = m_last_write_answer.find(endpoint);
+  return MeasureSilence(
+      m_connections, endpoint,
+      health == m_health.end() ? EndpointHealth() : health->second,
+      write == m_last_write_answer.end() ? Instant{} : write->second, Now());
+}
+
+// Reports an endpoint that does not answer on each tick, and its recovery once.
+void SharedPool::ReportSilence() {
+  for (const auto& [id, endpoint] : m_directory->endpoints) {
+    const auto silent = SilenceOf(id);
+    const bool is_silent = silent > kReportSilenceAfter;
+    auto& reported = m_silence_reported[id];
+    if (!is_silent && !reported) continue;
+    reported = is_silent;
+    m_actions.push_back(EndpointSilence{id, is_silent ? silent : Duration{}});
+  }
+}
+
+}  // namespace tiller::relay
