Tests of the relay core split by topic

Repeated set-up is in the bench (Complete, RecordWatermark, UseSharedPools; the last one stood in overload_test.cc, too), in the fixture Admin, and in a function each for an open transaction, a replica's read and a new primary.

--- a/Source/UnitTests/Relay/overload_test.cc
+++ b/Source/UnitTests/Relay/overload_test.cc
@@ -138,33 +138,18 @@
   return probes;
 }
 
-RelayBench& WithSharedPools(RelayBench* bench) {
-  limits::SeatView seats;
-  for (int i = 0; i < 24; ++i) {
-    seats.holders.push_back("h" + std::to_string(i + 1));
-    seats.zones.push_back("z1");
-    seats.pool_addresses.push_back("h" + std::to_string(i + 1) + ":8");
-  }
-  seats.held = {0};
-  seats.valid_until = bench->clock.Now() + std::chrono::hours(1);
-  bench->Handle(SeatsChanged{seats});
-  bench->Tick(std::chrono::seconds(3));
-  bench->CompleteInternal();
-  return *bench;
-}
-
 // Load pattern: 295 hosts with eight requests a second each before 20
 // primaries. Each host probed every primary each 0.8 to 1.2 s, several times
 // the traffic of the callers.
 TEST(PooledProbes, PrimaryIsNotProbedWithoutReads) {
   RelayBench bench;
-  WithSharedPools(&bench);
+  bench.UseSharedPools();
   EXPECT_EQ(CountProbes(&bench, std::chrono::seconds(10)), 0);
 }
 
 TEST(PooledProbes, PrimaryIsProbedWhileCallersRead) {
   RelayBench bench;
-  WithSharedPools(&bench);
+  bench.UseSharedPools();
   const auto session = bench.Open("bounded");
   bench.Submit(session, Verb::kRead, "READ a");
   bench.CompleteInternal();
--- /dev/null
+++ b/Source/UnitTests/Relay/session_flow_test.cc
@@ -0,0 +1,171 @@
+// Tests of the relay: sessions, admission of operations, and transactions.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "UnitTests/Support/relay_bench.h"
+
+namespace tiller::relay {
+namespace {
+
+TEST(Sessions, UnknownDatabaseAndKeyAreRefused) {
+  RelayBench bench;
+  bench.Open("nothing");
+  bench.Open("strict", "k9");
+  EXPECT_EQ(bench.rejected.size(), 2U);
+}
+
+TEST(Sessions, SessionsWaitForTheFirstDirectory) {
+  RelayBench bench;
+  RelayCore core({"h1", "z1"}, &bench.clock, &bench.random, &bench.counters);
+  core.Handle(SessionOpened{1, "strict", "k1"});
+  EXPECT_TRUE(core.TakeActions().empty());
+  core.Handle(DirectoryChanged{
+      std::make_shared<const Directory>(bench.MakeDirectory())});
+  const auto actions = core.TakeActions();
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<AcceptSession>(actions.front()));
+}
+
+TEST(Sessions, RevokedKeyIsRefusedAtTheNextOperation) {
+  RelayBench bench;
+  const auto session = bench.Open("strict");
+  auto directory = bench.MakeDirectory();
+  directory.keys.erase("k1");
+  bench.Publish(directory);
+  bench.Submit(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.TakeAnswer(session)->refusal, Refusal::kNoAuth);
+  EXPECT_TRUE(bench.PendingStatements().empty());
+}
+
+// A caller went on reading with a withdrawn key for as long as it kept its
+// transaction open.
+TEST(Sessions, WithdrawnKeyIsRefusedInsideATransaction) {
+  for (const bool moved : {false, true}) {
+    RelayBench bench;
+    const auto session = bench.Open("strict");
+    bench.Submit(session, Verb::kBegin, "BEGIN");
+    bench.TakeAnswer(session);
+    bench.Submit(session, Verb::kRead, "READ a");
+    bench.CompleteInternal();
+    bench.CompleteNext();
+    ASSERT_TRUE(bench.TakeAnswer(session)->Ok());
+    auto directory = bench.MakeDirectory();
+    directory.keys.erase("k1");
+    if (moved) directory.keys["k1"] = "w2";
+    bench.Publish(directory);
+    bench.Submit(session, Verb::kRead, "READ b");
+    const auto refused = bench.TakeAnswer(session);
+    ASSERT_TRUE(refused) << moved;
+    EXPECT_EQ(refused->refusal, Refusal::kNoAuth);
+    EXPECT_EQ(refused->state, TxState::kFailed);
+    ASSERT_EQ(bench.PendingStatements().size(), 1U);
+    EXPECT_EQ(bench.PendingStatements()[0].statement.statement.verb,
+              Verb::kRollback);
+  }
+}
+
+TEST(Limits, OperationBeyondTheRateIsRefusedAndNotSent) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.workspaces["w1"] = {"w1", 1, 2};
+  bench.Publish(directory);
+  bench.Tick(std::chrono::seconds(3));
+  int refused = 0;
+  for (int i = 0; i < 5; ++i) {
+    const auto session = bench.Open("strict");
+    bench.Submit(session, Verb::kWrite, "WRITE a 1");
+    bench.Tick(Milliseconds(25));
+    const auto answer = bench.TakeAnswer(session);
+    refused += answer && answer->refusal == Refusal::kBusy ? 1 : 0;
+  }
+  EXPECT_GE(refused, 3);
+}
+
+// Opens a transaction whose first statement the primary has answered.
+SessionId OpenTransaction(RelayBench* bench, Verb verb,
+                          const std::string& text) {
+  const auto session = bench->Open("own");
+  bench->Submit(session, Verb::kBegin, "BEGIN");
+  bench->Submit(session, verb, text);
+  bench->CompleteInternal();
+  bench->CompleteNext("receipt");
+  return session;
+}
+
+TEST(Transactions, StatementsStayOnOneConnection) {
+  RelayBench bench;
+  const auto session = bench.Open("own");
+  bench.Submit(session, Verb::kBegin, "BEGIN");
+  EXPECT_EQ(bench.TakeAnswer(session)->state, TxState::kOpen);
+  EXPECT_TRUE(bench.PendingStatements().empty());
+  bench.Submit(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.PendingStatements()[0].statement.statement.verb,
+            Verb::kBegin);
+  bench.CompleteNext();
+  const auto connection = bench.PendingStatements()[0].statement.connection;
+  bench.CompleteNext("receipt");
+  const auto other = bench.Open("own");
+  bench.Submit(other, Verb::kWrite, "WRITE b 2");
+  EXPECT_NE(bench.PendingStatements()[0].statement.connection, connection);
+  bench.CompleteNext("receipt");
+  bench.Submit(session, Verb::kCommit, "COMMIT");
+  EXPECT_EQ(bench.PendingStatements()[0].statement.connection, connection);
+  bench.CompleteNext("receipt");
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kIdle);
+}
+
+TEST(Transactions, ConnectionLossAbortsTheOpenTransaction) {
+  RelayBench bench;
+  const auto session = OpenTransaction(&bench, Verb::kWrite, "WRITE a 1");
+  bench.Submit(session, Verb::kRead, "READ a");
+  bench.DropNextConnection();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kFailed);
+  bench.Submit(session, Verb::kRead, "READ a");
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kMalformed);
+  bench.Submit(session, Verb::kRollback, "ROLLBACK");
+  EXPECT_EQ(bench.Answers()[session].back().state, TxState::kIdle);
+}
+
+TEST(Transactions, CommitOfWritesIsInDoubtAfterConnectionLoss) {
+  RelayBench bench;
+  const auto session = OpenTransaction(&bench, Verb::kWrite, "WRITE a 1");
+  bench.Submit(session, Verb::kCommit, "COMMIT");
+  bench.DropNextConnection();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kInDoubt);
+}
+
+TEST(Transactions, CommitWithoutWritesIsAbortedAfterConnectionLoss) {
+  RelayBench bench;
+  const auto session = OpenTransaction(&bench, Verb::kRead, "READ a");
+  bench.Submit(session, Verb::kCommit, "COMMIT");
+  bench.DropNextConnection();
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+}
+
+TEST(Transactions, IdleTransactionIsRolledBackAndReportedAtNextStatement) {
+  RelayBench bench;
+  auto directory = bench.MakeDirectory();
+  directory.transaction_idle = Milliseconds(3000);
+  bench.Publish(directory);
+  const auto session = OpenTransaction(&bench, Verb::kWrite, "WRITE a 1");
+  bench.Tick(Milliseconds(3100));
+  EXPECT_EQ(bench.NextPendingAt("p")->statement.statement.verb,
+            Verb::kRollback);
+  bench.Submit(session, Verb::kCommit, "COMMIT");
+  EXPECT_EQ(bench.Answers()[session].back().refusal, Refusal::kAborted);
+}
+
+TEST(Transactions, TransactionIsRolledBackWhenTheSessionCloses) {
+  RelayBench bench;
+  const auto session = OpenTransaction(&bench, Verb::kWrite, "WRITE a 1");
+  bench.Handle(SessionClosed{session});
+  ASSERT_EQ(bench.PendingStatements().size(), 1U);
+  EXPECT_EQ(bench.PendingStatements()[0].statement.statement.verb,
+            Verb::kRollback);
+}
+
+}  // namespace
+}  // namespace tiller::relay
--- a/Source/UnitTests/Support/relay_bench.cc
+++ b/Source/UnitTests/Support/relay_bench.cc
@@ -134,16 +134,21 @@
   return std::nullopt;
 }
 
-void RelayBench::CompleteNext(const std::string& text,
-                              std::optional<GroupPosition> position) {
-  const auto pending = m_pending.front();
-  m_pending.erase(m_pending.begin());
+void RelayBench::Complete(const Pending& pending, const std::string& text,
+                          std::optional<GroupPosition> position) {
   StatementResult result;
   result.text = text;
   result.position = position.value_or(log_position);
   Handle(StatementDone{pending.statement.connection, result});
 }
 
+void RelayBench::CompleteNext(const std::string& text,
+                              std::optional<GroupPosition> position) {
+  const auto pending = m_pending.front();
+  m_pending.erase(m_pending.begin());
+  Complete(pending, text, position);
+}
+
 void RelayBench::Refuse(Refusal refusal, TxState state) {
   const auto pending = m_pending.front();
   m_pending.erase(m_pending.begin());
@@ -177,6 +182,31 @@
   Handle(ConnectionLost{id, "reset"});
 }
 
+bool RelayBench::RecordWatermark() {
+  const auto session = Open("own");
+  Submit(session, Verb::kWrite, "WRITE x 1");
+  CompleteInternal();
+  log_position.position += 1;
+  CompleteNext("receipt");
+  const auto answer = TakeAnswer(session);
+  Handle(SessionClosed{session});
+  return answer && answer->Ok();
+}
+
+void RelayBench::UseSharedPools() {
+  limits::SeatView seats;
+  for (int i = 0; i < 24; ++i) {
+    seats.holders.push_back("h" + std::to_string(i + 1));
+    seats.zones.push_back("z1");
+    seats.pool_addresses.push_back("h" + std::to_string(i + 1) + ":8");
+  }
+  seats.held = {0};
+  seats.valid_until = clock.Now() + std::chrono::hours(1);
+  Handle(SeatsChanged{seats});
+  Tick(std::chrono::seconds(3));
+  CompleteInternal();
+}
+
 std::optional<StatementResult> RelayBench::TakeAnswer(SessionId session) {
   auto& answers = m_answers[session];
   if (answers.empty()) return std::nullopt;
--- a/Source/UnitTests/Support/relay_bench.h
+++ b/Source/UnitTests/Support/relay_bench.h
@@ -43,6 +43,9 @@
   std::vector<Pending>& PendingStatements() { return m_pending; }
   // Returns the oldest of them at the endpoint, if any.
   std::optional<Pending> NextPendingAt(const EndpointId& endpoint) const;
+  // Answers a statement that was taken from them with success.
+  void Complete(const Pending& pending, const std::string& text = "-",
+                std::optional<GroupPosition> position = {});
   // Answers the oldest pending statement with success.
   void CompleteNext(const std::string& text = "-",
                     std::optional<GroupPosition> position = {});
@@ -54,6 +57,11 @@
   void CompleteInternal();
   // Drops the connection of the oldest pending statement.
   void DropNextConnection();
+  // Runs a write, which records a watermark at its position. Returns whether it
+  // succeeded.
+  bool RecordWatermark();
+  // From now on there are 24 hosts, whose connections go through shared pools.
+  void UseSharedPools();
 
   // Removes and returns the oldest result that the session got, if any.
   std::optional<StatementResult> TakeAnswer(SessionId session);
