Commit hold tests: repeated set-up is in the fixture

Cause: two tests opened the same transaction with an option line by line, and answers were made by hand.

Change: OpenTransaction(), OpenTransactionWithOption() and CompleteAll() in the fixtures; answers by the bench's Complete().

--- a/Source/UnitTests/Relay/commit_hold_test.cc
+++ b/Source/UnitTests/Relay/commit_hold_test.cc
@@ -26,6 +26,9 @@
     m_bench.Submit(session, Verb::kWrite, "WRITE a 1");
     return session;
   }
+  void CompleteAll() {
+    while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+  }
   bool WriteIsSent(const EndpointId& endpoint) {
     for (const auto& pending : m_bench.PendingStatements()) {
       if (pending.endpoint != endpoint) continue;
@@ -130,7 +133,7 @@
     }
     // One connection to the primary is open.
     m_bench.Submit(m_bench.Open("strict"), Verb::kRead, "READ a");
-    while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+    CompleteAll();
     m_bench.unresponsive = true;
     m_bench.clock.Advance(Milliseconds(160));
   }
@@ -142,10 +145,7 @@
         m_bench.PendingStatements().push_back(item);
         continue;
       }
-      StatementResult result;
-      result.text = "receipt";
-      result.position = m_bench.log_position;
-      m_bench.Handle(StatementDone{item.statement.connection, result});
+      m_bench.Complete(item, "receipt");
     }
   }
 };
@@ -185,15 +185,28 @@
     m_directory.endpoints.at("p").zone = "z2";
     m_bench.Publish(m_directory);
   }
+  SessionId OpenTransaction() {
+    const auto session = m_bench.Open("strict");
+    m_bench.Submit(session, Verb::kBegin, "BEGIN");
+    CompleteAll();
+    return session;
+  }
+  // Opens a transaction with a write, and sets an option that its connection
+  // does not have yet.
+  SessionId OpenTransactionWithOption() {
+    const auto session = OpenTransaction();
+    m_bench.Submit(session, Verb::kWrite, "WRITE a 1");
+    CompleteAll();
+    m_bench.Submit(session, Verb::kSetOption, "SETOPT n v", "n", "v");
+    CompleteAll();
+    return session;
+  }
   // Answers the caller's write that is pending at the endpoint.
   bool AnswerWriteAt(const EndpointId& endpoint) {
     for (const auto& pending : m_bench.PendingStatements()) {
       if (pending.endpoint != endpoint) continue;
       if (pending.statement.statement.verb != Verb::kWrite) continue;
-      StatementResult result;
-      result.text = "receipt";
-      result.position = m_bench.log_position;
-      m_bench.Handle(StatementDone{pending.statement.connection, result});
+      m_bench.Complete(pending, "receipt");
       return true;
     }
     return false;
@@ -220,9 +233,7 @@
 // be executed. A commit that was in progress before the first hold is answered
 // between the second hold and its report.
 TEST_F(LateCommitAnswer, BetweenASecondHoldAndItsReport) {
-  const auto other = m_bench.Open("strict");
-  m_bench.Submit(other, Verb::kBegin, "BEGIN");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+  const auto other = OpenTransaction();
   const auto session = SubmitWrite();
   m_bench.Handle(HoldCommits{"g", 5, "", false});
   m_bench.Tick(Milliseconds(120));
@@ -248,13 +259,7 @@
 // COMMIT has arrived. The connection is released twice, and used for another
 // request while its ROLLBACK is not answered.
 TEST_F(LateCommitAnswer, ConnectionOfAHeldCommitIsReleasedOnce) {
-  const auto session = m_bench.Open("strict");
-  m_bench.Submit(session, Verb::kBegin, "BEGIN");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
-  m_bench.Submit(session, Verb::kWrite, "WRITE a 1");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
-  m_bench.Submit(session, Verb::kSetOption, "SETOPT n v", "n", "v");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+  const auto session = OpenTransactionWithOption();
   m_bench.Submit(session, Verb::kCommit, "COMMIT");
   ASSERT_EQ(m_bench.PendingStatements().size(), 1U);
   ASSERT_EQ(m_bench.PendingStatements()[0].statement.statement.verb,
@@ -277,13 +282,7 @@
 // The same, and the hold is released before the request is dispatched again:
 // the COMMIT must not succeed after the transaction was rolled back.
 TEST_F(LateCommitAnswer, HeldCommitDoesNotSucceedAfterItsRollback) {
-  const auto session = m_bench.Open("strict");
-  m_bench.Submit(session, Verb::kBegin, "BEGIN");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
-  m_bench.Submit(session, Verb::kWrite, "WRITE a 1");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
-  m_bench.Submit(session, Verb::kSetOption, "SETOPT n v", "n", "v");
-  while (!m_bench.PendingStatements().empty()) m_bench.CompleteNext();
+  const auto session = OpenTransactionWithOption();
   m_bench.Answers().clear();
   m_bench.Submit(session, Verb::kCommit, "COMMIT");
   m_bench.Handle(HoldCommits{"g", 5, "", false});
