--- a/Source/Common/signal_block.h
+++ b/Source/Common/signal_block.h
@@ -1,5 +1,6 @@
-// Keeps signals for the operator's commands pending until a program handles
-// them. Without it, a SIGHUP or SIGTERM during the start ends the process.
+// Keeps signals for the operator's commands pending while a program does not
+// handle them. Without it, a SIGHUP or SIGTERM during the start or the exit
+// ends the process.
 #pragma once
 
 #include <csignal>
@@ -9,7 +10,9 @@
 // Blocks SIGHUP, SIGINT and SIGTERM in this thread and those that it starts.
 class SignalBlock {
  public:
-  SignalBlock() { pthread_sigmask(SIG_BLOCK, &Signals(), nullptr); }
+  SignalBlock() { Block(); }
+
+  void Block() { pthread_sigmask(SIG_BLOCK, &Signals(), nullptr); }
 
   // Delivers pending signals, and those to come. Also ends a block that the
   // process has inherited.
--- a/Source/UnitTests/Daemon/start_signal_test.py
+++ b/Source/UnitTests/Daemon/start_signal_test.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
-"""A signal during the start of a host ended its process.
+"""A signal during the start of a host, or at the end of its drain, ended its process.
 
-Each program is started with a FIFO as its settings file, so that the signal
+For the start, each program has a FIFO as its settings file, so that the signal
 arrives while it reads its settings.
 Usage: start_signal_test.py PATH_OF_TILLERD PATH_OF_TILLERD_LAKESHORE
 """
@@ -17,6 +17,7 @@
 
 TILLERD, TILLERD_LAKESHORE = None, None
 LIMIT_S = 60
+EXITS = 3
 
 
 def free_ports(count):
@@ -42,13 +43,12 @@
         for name, port in zip(names, free_ports(len(names))))
 
 
-class StartSignal(unittest.TestCase):
+class Daemon(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.settings = os.path.join(folder.name, "settings.yaml")
         self.log = os.path.join(folder.name, "log")
-        os.mkfifo(self.settings)
 
     def start(self, program, blocked=()):
         before = signal.pthread_sigmask(signal.SIG_BLOCK, blocked)
@@ -64,6 +64,22 @@
         self.addCleanup(end)
         return process
 
+    def wait_for_event(self, process, event):
+        deadline = time.monotonic() + LIMIT_S
+        while True:
+            with open(self.log, encoding="utf-8") as log:
+                if f"event={event} " in log.read():
+                    return
+            self.assertIsNone(process.poll(), "the process has ended")
+            self.assertLess(time.monotonic(), deadline, f"no {event}")
+            time.sleep(0.05)
+
+
+class StartSignal(Daemon):
+    def setUp(self):
+        super().setUp()
+        os.mkfifo(self.settings)
+
     def settings_pipe(self, text):
         """Waits until the program opens the FIFO. What it reads later comes from a
         file in its place."""
@@ -81,16 +97,6 @@
             pipe.write(settings)
         return process
 
-    def wait_for_event(self, process, event):
-        deadline = time.monotonic() + LIMIT_S
-        while True:
-            with open(self.log, encoding="utf-8") as log:
-                if f"event={event} " in log.read():
-                    return
-            self.assertIsNone(process.poll(), "the process has ended")
-            self.assertLess(time.monotonic(), deadline, f"no {event}")
-            time.sleep(0.05)
-
     def check_stop(self, program, settings, blocked=()):
         process = self.start_with_signal(program, settings, signal.SIGTERM, blocked)
         self.assertEqual(process.wait(timeout=LIMIT_S), 0)
@@ -115,6 +121,33 @@
         self.check_stop(TILLERD_LAKESHORE, lakeshore_settings(), (signal.SIGTERM,))
 
 
+class ExitSignal(Daemon):
+    """Signals arrive without pause until the process has ended. The moment that
+    counts is short, so each program is stopped several times."""
+
+    def check_exits(self, program, settings, number):
+        for _ in range(EXITS):
+            with open(self.settings, "w", encoding="utf-8") as out:
+                out.write(settings())
+            process = self.start(program)
+            self.wait_for_event(process, "started")
+            process.send_signal(signal.SIGTERM)
+            deadline = time.monotonic() + LIMIT_S
+            while process.poll() is None and time.monotonic() < deadline:
+                process.send_signal(number)
+                time.sleep(0.0002)
+            self.assertEqual(process.poll(), 0)
+
+    def test_sighup_at_the_exit_of_tillerd(self):
+        self.check_exits(TILLERD, tillerd_settings, signal.SIGHUP)
+
+    def test_sighup_at_the_exit_of_tillerd_lakeshore(self):
+        self.check_exits(TILLERD_LAKESHORE, lakeshore_settings, signal.SIGHUP)
+
+    def test_sigterm_at_the_exit_of_tillerd_lakeshore(self):
+        self.check_exits(TILLERD_LAKESHORE, lakeshore_settings, signal.SIGTERM)
+
+
 if __name__ == "__main__":
     TILLERD_LAKESHORE = sys.argv.pop()
     TILLERD = sys.argv.pop()
