A repeated SIGTERM no longer puts off the drain of tillerd

Seen by a supervisor that repeats SIGTERM: the host goes on running. Callers then see their sessions cut by the SIGKILL that follows.

Cause: each SIGTERM set the timer of the drain delay again, so that the traffic never began to drain if the signal came back within that delay (2 s).

Change: only the first signal begins the drain.

--- a/Source/Daemon/control_service.cc
+++ b/Source/Daemon/control_service.cc
@@ -339,6 +339,9 @@
 }
 
 void ControlService::BeginDrain() {
+  // Another signal must not restart the delay.
+  if (m_draining) return;
+  m_draining = true;
   log::Event(log::Channel::kDaemon, log::Level::kInfo, "draining");
   Handle(control::DrainRequested{});
   // Keeps the listener open for a while, so that the load balancer can notice
--- a/Source/Daemon/control_service.h
+++ b/Source/Daemon/control_service.h
@@ -74,6 +74,7 @@
   // progress.
   std::map<control::CallId, std::optional<Result<Json::Value>>> m_commands;
   bool m_running_actions = false;
+  bool m_draining = false;
 };
 
 }  // namespace tiller::daemon
--- a/Source/UnitTests/Daemon/start_signal_test.py
+++ b/Source/UnitTests/Daemon/start_signal_test.py
@@ -141,6 +141,9 @@
     def test_sighup_at_the_exit_of_tillerd(self):
         self.check_exits(TILLERD, tillerd_settings, signal.SIGHUP)
 
+    def test_sigterm_at_the_exit_of_tillerd(self):
+        self.check_exits(TILLERD, tillerd_settings, signal.SIGTERM)
+
     def test_sighup_at_the_exit_of_tillerd_lakeshore(self):
         self.check_exits(TILLERD_LAKESHORE, lakeshore_settings, signal.SIGHUP)
 
