KNOWN-RED: commits lost in the first 100 ms after the cut of a zone

Cause: the answer to a commit of a primary in the own zone is passed on without new contact if an endpoint of another zone has answered in the last 100 ms. reasoned that a replica which acknowledges in that time is listed or has just started. So it is the open point of docs/design/commit-holds.md, reached in a wider way.

Not mended here: contact after the answer closes the window, and costs each commit of a primary in the own zone a round trip to another zone.

--- a/Source/UnitTests/Relay/commit_hold_test.cc
+++ b/Source/UnitTests/Relay/commit_hold_test.cc
@@ -177,6 +177,24 @@
   EXPECT_TRUE(answer->Ok());
 }
 
+// A replica whose row the platform has not written acknowledged commits in the
+// first 100 ms after the cut (soak, seed 716; KNOWN-RED 14).
+TEST_F(CommitInOwnZone, DISABLED_IsInDoubtIfTheLastContactWasBeforeItsAnswer) {
+  const auto session = SubmitWrite();
+  AnswerZone("z2");
+  m_bench.clock.Advance(Milliseconds(50));
+  AnswerZone("z1");
+  const auto early = m_bench.TakeAnswer(session);
+  ASSERT_FALSE(early) << early->text;
+  for (int i = 0; i < 31; ++i) {
+    m_bench.Tick(Milliseconds(20));
+    AnswerZone("z1");
+  }
+  const auto answer = m_bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->refusal, Refusal::kInDoubt);
+}
+
 // Commits that are answered around a change of primary, by a primary in another
 // zone.
 class LateCommitAnswer : public CommitHold {
