--- a/platform/line_stream.cc
+++ b/Source/Net/line_stream.cc
@@ -1,25 +1,24 @@
 // Implementation of the line stream.
-#include "platform/line_stream.h"
+#include "Net/line_stream.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
-namespace tiller::lakeshore {
+namespace tiller::net {
 
 using boost::system::error_code;
 
 namespace {
-// The protocol's limit on the size of a message.
-constexpr std::size_t kMaxLineBytes = 1U << 20;
 constexpr std::size_t kReadChunkBytes = 4096;
 // Largest read buffer that an idle connection keeps allocated.
 constexpr std::size_t kMaxIdleBufferBytes = 1024;
 }  // namespace
 
-LineStream::LineStream(boost::asio::ip::tcp::socket socket)
-    : m_socket(std::move(socket)) {}
+LineStream::LineStream(boost::asio::ip::tcp::socket socket,
+                       std::size_t max_line_bytes)
+    : m_socket(std::move(socket)), m_max_line_bytes(max_line_bytes) {}
 
 void LineStream::Start(OnLine on_line, OnClosed on_closed) {
   m_on_line = std::move(on_line);
@@ -63,7 +62,7 @@
     m_on_line(line);
   }
   m_read_buffer.erase(0, begin);
-  if (m_read_buffer.size() > kMaxLineBytes) Fail("line too long");
+  if (m_read_buffer.size() > m_max_line_bytes) Fail("line too long");
   if (m_read_buffer.empty() && m_read_buffer.capacity() > kMaxIdleBufferBytes)
     std::string().swap(m_read_buffer);
 }
@@ -130,4 +129,4 @@
   if (!m_close_after_writes) m_on_closed(reason);
 }
 
-}  // namespace tiller::lakeshore
+}  // namespace tiller::net
--- a/platform/line_stream.h
+++ b/Source/Net/line_stream.h
@@ -1,14 +1,14 @@
-// A TCP connection that carries lines of text, to a caller, another host or an
-// endpoint.
+// A TCP connection that carries lines of text.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
-namespace tiller::lakeshore {
+namespace tiller::net {
 
 class LineStream : public std::enable_shared_from_this<LineStream> {
  public:
@@ -18,7 +18,8 @@
   using OnLine = std::function<void(std::string_view line)>;
   using OnClosed = std::function<void(const std::string& reason)>;
 
-  explicit LineStream(boost::asio::ip::tcp::socket socket);
+  // A line may have `max_line_bytes` at the most.
+  LineStream(boost::asio::ip::tcp::socket socket, std::size_t max_line_bytes);
 
   boost::asio::ip::tcp::socket& Socket() { return m_socket; }
   void Start(OnLine on_line, OnClosed on_closed);
@@ -37,6 +38,7 @@
   void Fail(const std::string& reason);
 
   boost::asio::ip::tcp::socket m_socket;
+  const std::size_t m_max_line_bytes;
   OnLine m_on_line;
   OnClosed m_on_closed;
   std::string m_read_buffer;
@@ -46,4 +48,4 @@
   bool m_closed = false;
 };
 
-}  // namespace tiller::lakeshore
+}  // namespace tiller::net
