Refused renewals of claims are spaced, and a lease is one read less

Cause: a host that can't renew its claim, because the store refuses its calls, sent the renewal again in every tick until the stage ended. The same loop moved the time of the claim ahead by 1.5 s with each refusal. The first renewal that was accepted then wrote a time minutes in the future, and no other host could claim the group until then if the holder failed.

Change: after a refusal, the next renewal waits 500 ms, and the time of the claim stays as it was. A commit lease from the store no longer reads the lease table when this host knows its row's version from its last write; if the write conflicts, the row is read at once. The order that docs/design/commit-holds.md rests on is unchanged: the row is written, then the claims are read. The row's end counts from an upper bound of the store's clock at that moment, also before the seats' estimate exists. New counters of the calls by table.

The simulation can refuse a host's calls.

--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -124,10 +124,29 @@
   if (m_step != StoreStep::kNone || now < m_next_store_call_at) return;
   m_next_store_call_at = now + kStoreInterval;
   m_counters->Add("commit_lease_store_calls");
+  if (m_row_known) return WriteLeaseRow();
+  m_counters->Add("commit_lease_row_reads");
   m_step = StoreStep::kReadingRow;
+  m_row_read_sent_at = now;
   m_store_call = ReadTable{kLeaseTable, kStoreAnswerLimit};
 }
 
+void CommitLease::WriteLeaseRow() {
+  const auto now = m_clock->Now();
+  m_step = StoreStep::kWritingRow;
+  m_row_sent_at = now;
+  // Not behind the clock of the store, so that the row covers the lease.
+  const auto since_answer =
+      std::chrono::ceil<StoreTime>(now - m_store_time_requested_at);
+  const auto store_now =
+      std::max(m_seats->EstimatedStoreTime().value_or(StoreTime{0}),
+               m_store_time + since_answer);
+  Json::Value value;
+  value["until"] = Json::Int64((store_now + kCommitLease).count());
+  m_store_call =
+      WriteRow{0, kLeaseTable, m_self.host, ToText(value), m_row_version};
+}
+
 bool CommitLease::Handle(const TableRead& event) {
   m_call = 0;
   const auto step = std::exchange(m_step, StoreStep::kNone);
@@ -144,15 +163,9 @@
                    [&](const Row& other) { return other.key == m_self.host; });
   m_row_version =
       row == event.rows.end() ? RowVersion{event.era, 0} : row->version;
-  m_step = StoreStep::kWritingRow;
-  m_row_sent_at = m_clock->Now();
-  Json::Value value;
-  const auto estimate = m_seats->EstimatedStoreTime();
-  const auto until =
-      std::max(estimate.value_or(event.now), event.now) + kCommitLease;
-  value["until"] = Json::Int64(until.count());
-  m_store_call =
-      WriteRow{0, kLeaseTable, m_self.host, ToText(value), m_row_version};
+  m_store_time = event.now;
+  m_store_time_requested_at = m_row_read_sent_at;
+  WriteLeaseRow();
   return false;
 }
 
@@ -160,9 +173,19 @@
   m_call = 0;
   m_step = StoreStep::kNone;
   if (event.status != StoreStatus::kDone) {
-    m_next_store_call_at = m_clock->Now() + kStoreRetry;
+    const bool row_unchanged = event.status == StoreStatus::kNotRun;
+    // The row may have another version than the one remembered: it is read at
+    // once. If that fails as well, the store is left alone for a while.
+    const bool read_at_once = m_row_known && !row_unchanged;
+    m_row_known = m_row_known && row_unchanged;
+    m_next_store_call_at =
+        m_clock->Now() + (read_at_once ? Milliseconds{0} : kStoreRetry);
     return;
   }
+  m_row_known = true;
+  m_row_version = event.version;
+  m_store_time = event.now;
+  m_store_time_requested_at = m_row_sent_at;
   m_step = StoreStep::kReadingClaims;
   m_store_call = ReadTable{kClaimTable, kStoreAnswerLimit};
 }
--- a/Source/Fleet/commit_lease.h
+++ b/Source/Fleet/commit_lease.h
@@ -75,6 +75,7 @@
   enum class StoreStep { kNone, kReadingRow, kWritingRow, kReadingClaims };
   void Query(const FleetHost& host);
   void StartStoreLease();
+  void WriteLeaseRow();
   void Extend(Instant requested_at);
 
   const FleetHost m_self;
@@ -96,6 +97,12 @@
   StoreStep m_step = StoreStep::kNone;
   CallId m_call = 0;
   RowVersion m_row_version;
+  // This host's last write of its row was executed, as far as it knows.
+  bool m_row_known = false;
+  Instant m_row_read_sent_at{};
+  // The store's clock in its last answer, and when that was asked for.
+  StoreTime m_store_time{0};
+  Instant m_store_time_requested_at{};
   // Time before the row was written, from which the lease counts.
   Instant m_row_sent_at{};
   Instant m_next_store_call_at{};
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -17,6 +17,8 @@
 // Requests in flight then arrive before another host may claim the group.
 constexpr Milliseconds kMaxClaimAge{1'500};
 constexpr Milliseconds kClaimTimeout{1'500};
+// After a renewal that the store refused.
+constexpr Milliseconds kRenewalRetryInterval{500};
 // A promotion takes several hundred milliseconds, and its report takes one more
 // exchange.
 constexpr Milliseconds kPromotionSettleTime{1'500};
@@ -163,6 +165,7 @@
   const auto now = m_clock->Now();
   if (job->renewing_claim) return false;
   if (now - job->claim_sent_at < kMaxClaimAge) return true;
+  if (now < job->next_renewal_at) return false;
   job->renewing_claim = true;
   job->claim.claimed_at +=
       std::chrono::duration_cast<StoreTime>(now - job->claim_sent_at);
@@ -183,6 +186,8 @@
     // As far as this host knows, it still holds the claim. The next request to
     // an endpoint renews it again.
     job->claim_sent_at -= kMaxClaimAge;
+    job->claim.claimed_at -= kMaxClaimAge;
+    job->next_renewal_at = m_clock->Now() + kRenewalRetryInterval;
     return;
   }
   Abandon(group, job, "claim could not be renewed");
--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -165,6 +165,8 @@
     // Local time just before the write that made or renewed the claim.
     Instant claim_sent_at{};
     bool renewing_claim = false;
+    // The store refused a renewal; the next one is sent from then on.
+    Instant next_renewal_at{};
     CallId call = 0;
     // A promotion that got no answer, under this claim or an earlier one, may
     // still be executed. Replicas are not resumed then.
--- a/Source/UnitTests/Support/fleet_simulation.cc
+++ b/Source/UnitTests/Support/fleet_simulation.cc
@@ -241,7 +241,8 @@
 
 bool FleetSimulation::ReachesStore(int host) const {
   const bool in_cut_zone = m_zone_is_cut && ZoneOf(host) == *m_cut_zone;
-  return !store_down && cut_off_from_store.count(host) == 0 && !in_cut_zone;
+  return !store_down && cut_off_from_store.count(host) == 0 &&
+         refused_by_store.count(host) == 0 && !in_cut_zone;
 }
 
 void FleetSimulation::Deliver(int host, Event event,
@@ -255,6 +256,7 @@
 template <typename Answer>
 void FleetSimulation::DeliverStoreAnswer(int host, Answer event,
                                          Milliseconds answer_limit) {
+  if (refused_by_store.count(host) > 0) event.status = StoreStatus::kNotRun;
   if (unanswered_by_store.count(host) == 0) return Deliver(host, event);
   event.status = StoreStatus::kUnknown;
   event.era = 0;
--- a/Source/UnitTests/Support/fleet_simulation.h
+++ b/Source/UnitTests/Support/fleet_simulation.h
@@ -85,6 +85,7 @@
   ManualClock clock;
   SeededRandom random;
   std::set<int> cut_off_from_store;  // hosts that cannot reach the store
+  std::set<int> refused_by_store;    // hosts whose calls the store refuses
   // Hosts whose calls reach the store and get no answer, not even later.
   std::set<int> unanswered_by_store;
   std::set<int> cut_off_from_hosts;    // exchange nothing with other hosts
