A host waits for the answers of others before it turns to the store

The hosts with a small share of a processor answered late then, and the one that had asked turned to the store 0.25 s after its first query.

Change: it turns to it after 0.4 s, the time limit of a message between hosts, and a random part of 0.25 s as before. No rule of docs/design/commit-holds.md changes but this time.

--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -17,9 +17,9 @@
 constexpr Milliseconds kUrgentQueryInterval{120};
 // Of other zones; one of the own zone is asked as well.
 constexpr std::size_t kUrgentQueries = 2;
-// After this time without an answer, and a random part of the spread, the store
-// is asked as well.
-constexpr Milliseconds kStoreAfter{250};
+// After the time limit of a message to a host, and a random part of the spread,
+// without an answer, the store is asked as well.
+constexpr Milliseconds kStoreAfter{400};
 constexpr Milliseconds kStoreSpread{250};
 // The same for hosts that have just started: in a fleet that starts, a few take
 // leases from the store, and the others get theirs from these.
--- a/Source/UnitTests/Fleet/store_calls_test.cc
+++ b/Source/UnitTests/Fleet/store_calls_test.cc
@@ -106,5 +106,22 @@
   EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
 }
 
+// Hosts that were busy answered within the time limit of a message, but the one
+// that had asked them had turned to the store by then, at the moment in which
+// all hosts were busy.
+TEST(StoreCalls, LateAnswersOfOtherHostsAreWaitedFor) {
+  FleetSimulation simulation(3, 3, 1);
+  simulation.Run(seconds(20));
+  simulation.store_calls_of_table.clear();
+  for (int round = 0; round < 30; ++round) {
+    simulation.frozen = {1, 2};
+    simulation.Run(Milliseconds(325));
+    simulation.frozen.clear();
+    simulation.Run(Milliseconds(1'500 + 17 * round));
+  }
+  EXPECT_EQ(TakeCallsOf(&simulation, "commit_leases"), 0);
+  EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
+}
+
 }  // namespace
 }  // namespace tiller::fleet
