--- a/Source/Fleet/primary_failover.h
+++ b/Source/Fleet/primary_failover.h
@@ -58,6 +58,7 @@
 
 namespace tiller::fleet {
 
+inline constexpr char kReasonLeaving[] = "leaving";
 inline constexpr char kReasonUnfinished[] = "unfinished";
 
 // Why an attempt to replace a primary was given up.
