--- a/Source/UnitTests/Fleet/commit_guard_network_test.cc
+++ b/Source/UnitTests/Fleet/commit_guard_network_test.cc
@@ -36,36 +36,49 @@
   }
 }
 
+// Until another endpoint is the primary. The replica that is not the target
+// restarts, which ends its pause.
+void AwaitChangeOfPrimary(FleetSimulation* simulation) {
+  WaitForPromotionCall(simulation);
+  RestartOtherReplica(simulation);
+  AwaitOtherPrimary(simulation);
+}
+
+// Counts the runs that lost commits, after some more seconds.
+struct LostRuns {
+  void Add(FleetSimulation* simulation) {
+    simulation->Run(seconds(4));
+    const auto& lost = simulation->lost_commits;
+    if (lost.empty()) return;
+    if (count++ == 0) first = lost.front();
+  }
+  int count = 0;
+  std::string first;
+};
+
 // The only host of its zone reaches no other host, but the primary and the
 // store: its zone counts as cut off, although it is not isolated.
 TEST(CommitGuardReview, OnlyHostOfAZoneThatNoOtherHostReaches) {
   for (const bool store_too : {false, true}) {
-    int lost = 0;
-    std::string first;
+    LostRuns lost;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       FleetSimulation simulation(3, 3, seed);
       simulation.Run(seconds(20));
       simulation.cut_off_from_hosts = {0};
       simulation.cut_off_from_primary = {1, 2};
       if (store_too) simulation.cut_off_from_store = {0};
-      WaitForPromotionCall(&simulation);
-      RestartOtherReplica(&simulation);
-      AwaitOtherPrimary(&simulation);
-      simulation.Run(seconds(4));
-      lost += simulation.lost_commits.empty() ? 0 : 1;
-      if (first.empty() && !simulation.lost_commits.empty()) {
-        first = simulation.lost_commits.front();
-      }
+      AwaitChangeOfPrimary(&simulation);
+      lost.Add(&simulation);
     }
-    EXPECT_EQ(lost, 0) << "store too: " << store_too << ", " << first;
+    EXPECT_EQ(lost.count, 0)
+        << "store too: " << store_too << ", " << lost.first;
   }
 }
 
 // A host that the store turns away has lost its seat. Other hosts grant it
 // leases, but do not ask it to hold commits, nor wait for its lease.
 TEST(CommitGuardReview, HostWithoutASeat) {
-  int lost = 0;
-  std::string first;
+  LostRuns lost;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     FleetSimulation simulation(6, 3, seed);
     simulation.Run(seconds(20));
@@ -75,22 +88,15 @@
     EXPECT_EQ(simulation.PrimaryId(), "e0");
     EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
     simulation.cut_off_from_primary = {1, 2, 3, 4, 5};
-    WaitForPromotionCall(&simulation);
-    RestartOtherReplica(&simulation);
-    AwaitOtherPrimary(&simulation);
-    simulation.Run(seconds(4));
-    lost += simulation.lost_commits.empty() ? 0 : 1;
-    if (first.empty() && !simulation.lost_commits.empty()) {
-      first = simulation.lost_commits.front();
-    }
+    AwaitChangeOfPrimary(&simulation);
+    lost.Add(&simulation);
   }
-  EXPECT_EQ(lost, 0) << first;
+  EXPECT_EQ(lost.count, 0) << lost.first;
 }
 
 // The store is restored between the answer to a promotion and its effect.
 TEST(CommitGuardReview, StoreRestoredBeforeThePromotionTakesEffect) {
-  int lost = 0;
-  std::string first;
+  LostRuns lost;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     FleetSimulation simulation(4, 3, seed);
     simulation.Run(seconds(20));
@@ -103,13 +109,9 @@
     RestartOtherReplica(&simulation);
     AwaitOtherPrimary(&simulation);
     simulation.WriteEndpointRows();
-    simulation.Run(seconds(4));
-    lost += simulation.lost_commits.empty() ? 0 : 1;
-    if (first.empty() && !simulation.lost_commits.empty()) {
-      first = simulation.lost_commits.front();
-    }
+    lost.Add(&simulation);
   }
-  EXPECT_EQ(lost, 0) << first;
+  EXPECT_EQ(lost.count, 0) << lost.first;
 }
 
 // The holder and the target die after the promotion was accepted and before it
