A lost zone sends fewer hosts to the store for their leases

Cause: since leases need a recent grant of another zone, a host that asked two silent hosts twice turned to the store: 0.05 store calls per second and host in a fleet of 90 that has lost a zone (0.002 before leases needed it).

Change: three hosts of other zones are asked at once instead of two when less than 0.7 s is left. A grant that renews the lease counts as an answer, however much is left.

--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -15,7 +15,7 @@
 constexpr Milliseconds kUrgentLeft{700};
 constexpr Milliseconds kUrgentQueryInterval{120};
 // Of other zones; one of the own zone is asked as well.
-constexpr std::size_t kUrgentQueries = 2;
+constexpr std::size_t kUrgentQueries = 3;
 // After this time without an answer, and a random part of the spread, the store
 // is asked as well.
 constexpr Milliseconds kStoreAfter{250};
@@ -137,8 +137,11 @@
   if (query->second.sent_at > granted.sent_at) granted = query->second;
   m_queries.erase(query);
   m_informed = true;
-  m_valid_until = std::max(m_valid_until, EndOfGrants());
-  if (m_valid_until - m_clock->Now() >= kUrgentLeft) m_asked_since.reset();
+  const auto end = EndOfGrants();
+  const bool renewed =
+      end > m_valid_until || end - m_clock->Now() >= kUrgentLeft;
+  m_valid_until = std::max(m_valid_until, end);
+  if (renewed) m_asked_since.reset();
 }
 
 std::vector<peer::GrantedLease> CommitLease::Granted() const {
