Contact confirms only what was answered before it was asked for

Cause: (1) whether a commit waits for contact was judged by the listed primary. Once its row is lost, no primary is listed, and commits in progress and on open transactions were passed on at once. (2) Any answer from another zone confirmed all waiting commits, also one to a statement sent long before, which a suspended host or a shared pool had kept.

Change: the endpoint that answered decides, and one that is not listed may be in the own zone; the statement whose answer confirms must have been sent after the commit was answered. Probes of other zones open a connection if all are in use, and do not repeat one that is unanswered.

--- a/Source/Relay/commit_hold.cc
+++ b/Source/Relay/commit_hold.cc
@@ -49,6 +49,9 @@
 }
 
 bool RelayCore::HasCommitInProgress(const GroupId& group) {
+  for (const auto& commit : m_unconfirmed_commits) {
+    if (commit.group == group) return true;
+  }
   return std::any_of(
       m_connections.begin(), m_connections.end(), [&](const auto& item) {
         const auto& connection = item.second;
--- a/Source/Relay/commit_risk.cc
+++ b/Source/Relay/commit_risk.cc
@@ -49,9 +49,7 @@
     return CommitRisk::kZoneIsolated;
   }
   if (!m_isolated && now >= m_primary_uncertain_until) return CommitRisk::kNone;
-  const bool in_own_zone =
-      !found->second.primary.empty() && !InOtherZone(found->second.primary);
-  if (!in_own_zone) return CommitRisk::kNone;
+  if (InOtherZone(found->second.primary)) return CommitRisk::kNone;
   return m_isolated ? CommitRisk::kZoneIsolated : CommitRisk::kPrimaryUncertain;
 }
 
@@ -78,13 +76,14 @@
   answer->text = "primary may have been replaced, the commit may be lost";
 }
 
-bool RelayCore::NeedsContact(const GroupId& group) const {
+// An endpoint that is not listed may be in this zone.
+bool RelayCore::NeedsContact(const EndpointId& endpoint,
+                             const GroupId& group) const {
   const auto found = m_directory->groups.find(group);
   if (found == m_directory->groups.end() || !found->second.synchronous) {
     return false;
   }
-  const auto& primary = found->second.primary;
-  if (primary.empty() || InOtherZone(primary)) return false;
+  if (InOtherZone(endpoint)) return false;
   return std::any_of(m_directory->endpoints.begin(),
                      m_directory->endpoints.end(),
                      [&](const auto& item) { return InOtherZone(item.first); });
@@ -116,7 +115,7 @@
                              StatementResult answer) {
   auto& request = *session->request;
   const auto risk = RiskOfAnswer(endpoint, group, sent);
-  if (risk == CommitRisk::kNone && NeedsContact(group)) {
+  if (risk == CommitRisk::kNone && NeedsContact(endpoint, group)) {
     m_counters->Add("commits_unconfirmed");
     m_unconfirmed_commits.push_back({session->id, request.id, endpoint, group,
                                      sent, std::move(answer), Now()});
@@ -129,13 +128,15 @@
   FinishRequest(session, std::move(answer));
 }
 
-void RelayCore::ConfirmCommits(bool contact) {
+void RelayCore::ConfirmCommits(std::optional<Instant> asked_at) {
   for (auto& commit : std::exchange(m_unconfirmed_commits, {})) {
     auto* session = FindSession(commit.session);
     if (session == nullptr || !session->request) continue;
     if (session->request->id != commit.request) continue;
     auto risk = RiskOfAnswer(commit.endpoint, commit.group, commit.sent);
-    const bool overdue = Now() - commit.since >= kContactTimeout;
+    const bool contact = asked_at && *asked_at >= commit.since;
+    const bool overdue = Now() - commit.since >= kContactTimeout ||
+                         Now() >= session->request->deadline;
     if (risk == CommitRisk::kNone && !contact && !overdue) {
       m_unconfirmed_commits.push_back(std::move(commit));
       continue;
--- a/Source/Relay/connection_flow.cc
+++ b/Source/Relay/connection_flow.cc
@@ -185,7 +185,7 @@
   if (connection == nullptr) return;
   if (connection->pool_host_id.empty()) {
     HealthOf(connection->endpoint).RecordAnswer(Now());
-    RecordContact(connection->endpoint);
+    RecordContact(*connection);
   }
   StatementResult opened;
   opened.position = event.position;
@@ -211,7 +211,7 @@
   } else {
     health.RecordConnectionRefused(event.refusal, Now());
     if (event.refusal != Refusal::kNone) {
-      RecordContact(connection->endpoint);
+      RecordContact(*connection);
     }
   }
   m_connections.erase(event.connection);
@@ -316,7 +316,7 @@
   if (connection == nullptr) return;
   if (IsFromEndpoint(*connection, event.result)) {
     HealthOf(connection->endpoint).RecordAnswer(Now());
-    RecordContact(connection->endpoint);
+    RecordContact(*connection);
   }
   RecordPosition(*connection, event.result);
   if (connection->step == Step::kUser) {
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -246,7 +246,7 @@
     ReportHold(name);
     LogRisk(name);
   }
-  ConfirmCommits(false);
+  ConfirmCommits(std::nullopt);
   ProbePrimaries();
   ReportPrimaries();
   CheckReachability();
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -201,7 +201,7 @@
   // ---- contact with other zones (zone_isolation.cc)
   bool InOtherZone(const EndpointId& id) const;
   // The endpoint has answered, and not a shared pool in its place.
-  void RecordContact(const EndpointId& endpoint);
+  void RecordContact(const Connection& connection);
   Duration IsolationTimeout() const;
   void CheckIsolation();
   void ProbeOtherZones();
@@ -236,9 +236,10 @@
                           Instant sent) const;
   void MarkInDoubt(const std::string& request, const GroupId& group,
                    CommitRisk risk, StatementResult* answer);
-  bool NeedsContact(const GroupId& group) const;
-  // `contact`: an endpoint of another zone has just answered.
-  void ConfirmCommits(bool contact);
+  bool NeedsContact(const EndpointId& endpoint, const GroupId& group) const;
+  // `asked_at`: when the statement was sent that an endpoint of another zone
+  // has just answered. Earlier ones may have been answered before a cut.
+  void ConfirmCommits(std::optional<Instant> asked_at);
   // Precondition: the statement has not been sent.
   void RefuseCommit(Session* session, CommitRisk risk);
   // True if a hold allows no new commits of the group.
--- a/Source/Relay/zone_isolation.cc
+++ b/Source/Relay/zone_isolation.cc
@@ -33,10 +33,10 @@
   return endpoint != nullptr && endpoint->zone != m_settings.zone;
 }
 
-void RelayCore::RecordContact(const EndpointId& endpoint) {
-  if (!InOtherZone(endpoint)) return;
+void RelayCore::RecordContact(const Connection& connection) {
+  if (!InOtherZone(connection.endpoint)) return;
   m_zone_contact.RecordAnswer(Now());
-  ConfirmCommits(true);
+  ConfirmCommits(connection.step_sent);
 }
 
 Duration RelayCore::IsolationTimeout() const {
@@ -79,8 +79,19 @@
 
 void RelayCore::ProbeOtherZones() {
   std::set<EndpointId> probed;
+  std::set<EndpointId> opening;
+  for (const auto& [id, connection] : m_connections) {
+    if (!InOtherZone(connection.endpoint)) continue;
+    const bool is_probe = connection.state == ConnectionState::kBusy &&
+                          connection.step == Step::kAdmin &&
+                          connection.admin == 0;
+    if (is_probe) probed.insert(connection.endpoint);
+    if (connection.state == ConnectionState::kOpening) {
+      opening.insert(connection.endpoint);
+    }
+  }
   for (auto& [id, connection] : m_connections) {
-    if (probed.size() == kContactProbes) break;
+    if (probed.size() >= kContactProbes) break;
     if (connection.state != ConnectionState::kIdle) continue;
     if (!InOtherZone(connection.endpoint)) continue;
     if (!probed.insert(connection.endpoint).second) continue;
@@ -91,7 +102,7 @@
   }
   if (!probed.empty() || m_directory->workspaces.empty()) return;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
-    if (!InOtherZone(id) || ConnectionsAt(id) > 0) continue;
+    if (!InOtherZone(id) || opening.count(id) > 0) continue;
     if (!CanOpenConnection(endpoint)) continue;
     Open(endpoint, m_directory->workspaces.begin()->first);
     return;
--- a/Source/UnitTests/Relay/commit_hold_test.cc
+++ b/Source/UnitTests/Relay/commit_hold_test.cc
@@ -177,6 +177,39 @@
   EXPECT_TRUE(answer->Ok());
 }
 
+// The row of the primary was lost, and its commits no longer waited for
+// contact.
+TEST_F(CommitInOwnZone, OfAnUnlistedPrimaryWaitsForContact) {
+  const auto session = SubmitWrite();
+  auto unlisted = m_directory;
+  unlisted.groups.at("g").primary.clear();
+  unlisted.endpoints.erase("p");
+  m_bench.Publish(unlisted);
+  AnswerZone("z1");
+  const auto early = m_bench.TakeAnswer(session);
+  ASSERT_FALSE(early) << early->text;
+  AnswerZone("z2");
+  ASSERT_TRUE(m_bench.TakeAnswer(session));
+}
+
+// An answer that a suspended host or a shared pool had kept since before the
+// cut confirmed a commit.
+TEST_F(CommitInOwnZone, IsNotConfirmedByAnAnswerToAnEarlierStatement) {
+  m_bench.Handle(AdminRequest{2, "r1", Verb::kStatus, 0});
+  m_bench.Handle(AdminRequest{3, "r2", Verb::kStatus, 0});
+  m_bench.clock.Advance(Milliseconds(5));
+  const auto session = SubmitWrite();
+  AnswerZone("z1");
+  AnswerZone("z2");
+  const auto early = m_bench.TakeAnswer(session);
+  ASSERT_FALSE(early) << early->text;
+  m_bench.Tick(Milliseconds(20));
+  AnswerZone("z2");
+  const auto answer = m_bench.TakeAnswer(session);
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->Ok());
+}
+
 // A replica whose row the platform has not written acknowledged commits in the
 // first 100 ms after the cut (soak, seed 716).
 TEST_F(CommitInOwnZone, IsInDoubtIfTheLastContactWasBeforeItsAnswer) {
