Store leases are taken at half of their time, and claims far ahead are stale

Found by a review. A host that gets no grant from another zone wrote its lease row and read the claims every 0.4 s, although its lease from the store was valid for 1.2 s: since the change of the grants, those of the own zone no longer end the wait for an answer. Now it does so when less than 0.65 s is left. A claim dated further ahead than a claim lasts blocked its group until that time; it now counts as stale. A lease that a report says to have ended long ago is bounded, so that its end can't overflow.

The claim ahead and the report have no test of their own.

--- a/Source/Fleet/commit_guard.cc
+++ b/Source/Fleet/commit_guard.cc
@@ -59,7 +59,7 @@
 void CommitGuard::AddLease(std::map<HostId, Instant>* leases,
                            const peer::GrantedLease& lease) const {
   const auto until =
-      m_clock->Now() + std::min<Milliseconds>(lease.left, kCommitLease);
+      m_clock->Now() + std::clamp(lease.left, -kGrantorLimit, kCommitLease);
   auto& known = (*leases)[lease.host];
   known = std::max(known, until);
 }
--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -20,8 +20,10 @@
 // without an answer, the store is asked as well.
 constexpr Milliseconds kStoreAfter{400};
 constexpr Milliseconds kStoreSpread{250};
-// The same for hosts that have just started: in a fleet that starts, a few take
-// leases from the store, and the others get theirs from these.
+// A lease from the store is taken again when less than this is left.
+constexpr Milliseconds kStoreLeft = kStoreAfter + kStoreSpread;
+// The spread for hosts that have just started: in a fleet that starts, a few
+// take leases from the store, and the others get theirs from these.
 constexpr Milliseconds kFirstStoreSpread{4'000};
 constexpr Milliseconds kStoreInterval{400};
 // After a call that failed.
@@ -104,7 +106,9 @@
     return;
   }
   const bool urgent = m_valid_until - now < kUrgentLeft;
-  if (m_asked_since && now - *m_asked_since >= m_store_after) StartStoreLease();
+  const bool unanswered =
+      m_asked_since && now - *m_asked_since >= m_store_after;
+  if (unanswered && m_valid_until - now < kStoreLeft) StartStoreLease();
   if (now - m_queried_at <
       (urgent ? kUrgentQueryInterval : kLeaseQueryInterval)) {
     return;
--- a/Source/Fleet/commit_lease.h
+++ b/Source/Fleet/commit_lease.h
@@ -6,7 +6,8 @@
 // hold with its next lease, or its lease ends. The replacing host waits until
 // then.
 //
-// - Any host may grant a lease, unless it has started and has had none itself:
+// - Any host may grant a lease, unless it has started and has had no grant
+// itself:
 //   it may not know of holds that were asked for before. Hosts of other zones
 //   are asked first, so that those of a zone that is cut off do not only ask
 //   each other.
@@ -102,7 +103,8 @@
   Random* const m_random;
   Counters* const m_counters;
   Instant m_valid_until{};
-  // Has had a lease since its start, or was the first host of the fleet.
+  // Has had a grant or a lease since its start, or was the first host of the
+  // fleet.
   bool m_informed = false;
   std::uint64_t m_next_nonce;
   // Queries that may still be answered.
--- a/Source/Fleet/failover_claim.cc
+++ b/Source/Fleet/failover_claim.cc
@@ -114,12 +114,15 @@
     job->stage = Stage::kIdle;
     return;
   }
-  if (held_by_other && !claim.finished &&
-      now - claim.claimed_at < kClaimLease) {
+  const auto age = now - claim.claimed_at;
+  // Hosts estimate the store's time; a claim far in the future is not a fresh
+  // one.
+  const bool plausible = age > -kClaimLease;
+  if (held_by_other && !claim.finished && plausible && age < kClaimLease) {
     return PostponeClaim(job);
   }
-  if (held_by_other && claim.finished && !claim.target.empty() &&
-      now - claim.claimed_at < kPromotionSettleTime) {
+  if (held_by_other && claim.finished && !claim.target.empty() && plausible &&
+      age < kPromotionSettleTime) {
     // Another host has just replaced the primary, and the reports of the
     // endpoints have not arrived yet.
     return PostponeClaim(job);
--- a/Source/UnitTests/Fleet/store_calls_test.cc
+++ b/Source/UnitTests/Fleet/store_calls_test.cc
@@ -80,6 +80,8 @@
   EXPECT_LT(simulation.clock.Now() - simulation.last_commit_at, seconds(1));
   const int claim_reads = simulation.store_calls_of_table["primaries"];
   EXPECT_GT(claim_reads, 8);
+  // Not before half of the lease is over.
+  EXPECT_LE(claim_reads, 18);
   EXPECT_LE(TakeCallsOf(&simulation, "commit_leases"), claim_reads + 1);
 }
 
