Seats are ranked for a workspace only where a change concerns its homes

Hosts are busiest while the fleet starts, when no request comes.

Cause: each change of the counted seats ranked all of them for each workspace, and while a fleet starts the seats begin to count one after another: 8 million weights on each of 295 hosts for 190 workspaces.

Change: of the added seats, only those that rank above the last home seat are ranked with the homes; the rest is ranked anew only if a home seat has gone. The name of a workspace is hashed once for all seats. token_seats_ranked counts the work.

--- a/Source/Common/crypto.cc
+++ b/Source/Common/crypto.cc
@@ -87,15 +87,9 @@
 }
 
 std::uint64_t StableHash(std::string_view data) {
-  std::uint64_t hash = 14695981039346656037ULL;
-  for (const char c : data) {
-    hash ^= static_cast<unsigned char>(c);
-    hash *= 1099511628211ULL;
-  }
-  hash ^= hash >> 33;
-  hash *= 0xff51afd7ed558ccdULL;
-  hash ^= hash >> 33;
-  return hash;
+  StableHasher hasher;
+  hasher.Add(data);
+  return hasher.Finish();
 }
 
 std::string RandomHex(int bytes) {
--- a/Source/Limits/seat_view.h
+++ b/Source/Limits/seat_view.h
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <numeric>
 #include <string>
 #include <string_view>
@@ -57,20 +60,39 @@
   }
 };
 
-// Ranks the seats by a hash of `name` and the seat (rendezvous hashing) and
-// returns the first `count`. All hosts compute the same ranking.
+// Place of a seat in a ranking; the highest comes first.
+using SeatWeight = std::pair<std::uint64_t, int>;
+
+// The weights of seats under a name (rendezvous hashing). All hosts compute the
+// same ones. Hundreds of seats are ranked for hundreds of names, so the name is
+// hashed once.
+class SeatWeights {
+ public:
+  explicit SeatWeights(std::string_view name) {
+    m_prefix.Add(name);
+    m_prefix.Add("/");
+  }
+  SeatWeight Of(int seat) const {
+    std::array<char, std::numeric_limits<int>::digits10 + 2> digits{};
+    const auto* end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), seat).ptr;
+    auto hasher = m_prefix;
+    hasher.Add({digits.data(), static_cast<std::size_t>(end - digits.data())});
+    return {hasher.Finish(), seat};
+  }
+
+ private:
+  StableHasher m_prefix;
+};
+
+// Ranks the seats by their weights under `name` and returns the first `count`.
 inline std::vector<int> RankSeats(std::string_view name,
                                   const std::vector<int>& seats,
                                   std::size_t count) {
-  std::vector<std::pair<std::uint64_t, int>> weights;
+  const SeatWeights weight(name);
+  std::vector<SeatWeight> weights;
   weights.reserve(seats.size());
-  std::string text = std::string(name) + "/";
-  const auto prefix = text.size();
-  for (const int seat : seats) {
-    text.resize(prefix);
-    text += std::to_string(seat);
-    weights.emplace_back(StableHash(text), seat);
-  }
+  for (const int seat : seats) weights.push_back(weight.Of(seat));
   count = std::min(count, weights.size());
   std::partial_sort(weights.begin(),
                     weights.begin() + static_cast<std::ptrdiff_t>(count),
--- a/Source/Limits/token_share.cc
+++ b/Source/Limits/token_share.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -60,11 +61,7 @@
   for (auto& [name, bucket] : m_buckets) Refill(&bucket, now);
   const double restart_share_before = m_seats.restart_share;
   m_seats = seats;
-  auto counted = seats.CountedSeats();
-  if (counted != m_counted || m_counted_version == 0) {
-    m_counted = std::move(counted);
-    ++m_counted_version;
-  }
+  SetCounted(seats.CountedSeats());
   std::set<WorkspaceId> present;
   for (const auto& limit : limits) {
     present.insert(limit.workspace);
@@ -84,6 +81,46 @@
   });
 }
 
+void TokenShare::SetCounted(std::vector<int> counted) {
+  std::sort(counted.begin(), counted.end());
+  if (counted == m_counted && m_counted_version > 0) return;
+  m_counted_added.clear();
+  std::set_difference(counted.begin(), counted.end(), m_counted.begin(),
+                      m_counted.end(), std::back_inserter(m_counted_added));
+  m_counted_removed.clear();
+  std::set_difference(m_counted.begin(), m_counted.end(), counted.begin(),
+                      counted.end(), std::back_inserter(m_counted_removed));
+  m_counted = std::move(counted);
+  ++m_counted_version;
+}
+
+// Load pattern: hundreds of hosts start, and their seats begin to count one
+// after another. Only the added seats can take the place of a home seat.
+std::vector<int> TokenShare::RankHomes(const Bucket& bucket,
+                                       std::size_t count) const {
+  const auto& name = bucket.limit.workspace;
+  const auto& homes = bucket.home_seats;
+  const auto rank = [&](const std::vector<int>& seats) {
+    m_counters->Add("token_seats_ranked", seats.size());
+    return RankSeats(name, seats, count);
+  };
+  const bool homes_remain =
+      bucket.ranked_from + 1 == m_counted_version && !homes.empty() &&
+      homes.size() == count &&
+      std::none_of(homes.begin(), homes.end(), [&](int seat) {
+        return std::binary_search(m_counted_removed.begin(),
+                                  m_counted_removed.end(), seat);
+      });
+  if (!homes_remain) return rank(m_counted);
+  const SeatWeights weight(name);
+  const auto lowest = weight.Of(homes.back());
+  auto candidates = homes;
+  std::copy_if(m_counted_added.begin(), m_counted_added.end(),
+               std::back_inserter(candidates),
+               [&](int seat) { return weight.Of(seat) > lowest; });
+  return candidates.size() == homes.size() ? homes : rank(candidates);
+}
+
 void TokenShare::SetSeats(Bucket* bucket, const SeatView& seats,
                           double restart_share_before, Instant now) {
   const auto home_count = std::clamp<std::size_t>(
@@ -93,8 +130,7 @@
   // request may wait, so it is repeated only when its result can change.
   if (bucket->ranked_from != m_counted_version ||
       bucket->home_seats.size() != home_count) {
-    bucket->home_seats =
-        RankSeats(bucket->limit.workspace, m_counted, home_count);
+    bucket->home_seats = RankHomes(*bucket, home_count);
     bucket->ranked_from = m_counted_version;
   }
   std::vector<int> held;
--- a/Source/Limits/token_share.h
+++ b/Source/Limits/token_share.h
@@ -88,6 +88,10 @@
   // Tokens that all hosts together may hold: the sum of the capacities of all
   // home seats.
   MicroTokens Capacity(const WorkspaceId& workspace) const;
+  // The seats that share the workspace's limit, which must be known.
+  const std::vector<int>& HomeSeats(const WorkspaceId& workspace) const {
+    return m_buckets.at(workspace).home_seats;
+  }
 
  private:
   // A grant by this host that the borrower has not listed as settled yet. It
@@ -147,6 +151,9 @@
   };
 
   Bucket* Find(const WorkspaceId& workspace);
+  void SetCounted(std::vector<int> counted);
+  // Returns the first `count` counted seats of the bucket's ranking.
+  std::vector<int> RankHomes(const Bucket& bucket, std::size_t count) const;
   void SetSeats(Bucket* bucket, const SeatView& seats,
                 double restart_share_before, Instant now);
   void Refill(Bucket* bucket, Instant now) const;
@@ -164,9 +171,13 @@
   Random* const m_random;
   Counters* const m_counters;
   SeatView m_seats;
-  // The counted seats, and the number of times they have changed.
+  // The counted seats in ascending order, and the number of times they have
+  // changed.
   std::vector<int> m_counted;
   std::uint64_t m_counted_version = 0;
+  // Seats that the last change added and removed.
+  std::vector<int> m_counted_added;
+  std::vector<int> m_counted_removed;
   std::uint64_t m_next_request_id = 1;
   std::unordered_map<WorkspaceId, Bucket> m_buckets;
   // Hosts that left a request of any workspace unanswered; bounded by the
