Ticks of the traffic part look at sessions and connections once

Cause: on each tick, 50 times a second, a shared pool looked at all of its sessions twice and at all of its connections three times for each listed endpoint, of which there are 60; the relay did the same for each group, and counted the pools of each zone from 295 seats.

Change: pending requests and waiting statements are found in one pass for all endpoints or groups; the pools of a zone are counted when the seats change. What is decided is the same.

--- a/Source/Relay/endpoint_silence.cc
+++ b/Source/Relay/endpoint_silence.cc
@@ -18,46 +18,58 @@
 constexpr Milliseconds kSlowProbeInterval{500};
 constexpr Milliseconds kQuickProbes{3'000};
 
-struct PendingRequests {
-  Instant oldest = Instant::max();
-  Instant oldest_write = Instant::max();
-  bool probe = false;
-};
+// Adds the request on the connection, if one is pending there.
+void AddPending(const Connection& connection, PendingRequests* pending) {
+  pending->oldest = std::min(pending->oldest, connection.step_sent);
+  pending->probe |= connection.step == Step::kProbe;
+  const bool write = connection.sent.verb == Verb::kWrite ||
+                     connection.sent.verb == Verb::kCommit;
+  if (connection.step == Step::kUser && write) {
+    pending->oldest_write =
+        std::min(pending->oldest_write, connection.step_sent);
+  }
+}
+
+bool IsPending(const Connection& connection) {
+  return connection.pool_host_id.empty() &&
+         (connection.state == ConnectionState::kBusy ||
+          connection.state == ConnectionState::kOpening);
+}
+
+Duration Between(Instant start, Instant end) {
+  return end > start ? end - start : Duration{};
+}
 
-PendingRequests FindPending(
-    const std::map<ConnectionId, Connection>& connections,
-    const EndpointId& endpoint) {
+}  // namespace
+
+PendingRequests FindPending(const ConnectionTable& connections,
+                            const EndpointId& endpoint) {
   PendingRequests pending;
   for (const auto& [id, connection] : connections) {
-    if (connection.endpoint != endpoint || !connection.pool_host_id.empty())
-      continue;
-    if (connection.state != ConnectionState::kBusy &&
-        connection.state != ConnectionState::kOpening) {
-      continue;
-    }
-    pending.oldest = std::min(pending.oldest, connection.step_sent);
-    pending.probe |= connection.step == Step::kProbe;
-    const bool write = connection.sent.verb == Verb::kWrite ||
-                       connection.sent.verb == Verb::kCommit;
-    if (connection.step == Step::kUser && write) {
-      pending.oldest_write =
-          std::min(pending.oldest_write, connection.step_sent);
-    }
+    if (!IsPending(connection) || connection.endpoint != endpoint) continue;
+    AddPending(connection, &pending);
   }
   return pending;
 }
 
-Duration Between(Instant start, Instant end) {
-  return end > start ? end - start : Duration{};
+PendingTable FindAllPending(const ConnectionTable& connections) {
+  PendingTable table;
+  for (const auto& [id, connection] : connections) {
+    if (!IsPending(connection)) continue;
+    AddPending(connection, &table[connection.endpoint]);
+  }
+  return table;
 }
 
-}  // namespace
+PendingRequests PendingAt(const PendingTable& table,
+                          const EndpointId& endpoint) {
+  const auto found = table.find(endpoint);
+  return found == table.end() ? PendingRequests() : found->second;
+}
 
-Silence MeasureSilence(const std::map<ConnectionId, Connection>& connections,
-                       const EndpointId& endpoint, const EndpointHealth& health,
-                       Instant last_write_answer, Instant on_time_since,
-                       Instant now) {
-  const auto pending = FindPending(connections, endpoint);
+Silence MeasureSilence(const PendingRequests& pending,
+                       const EndpointHealth& health, Instant last_write_answer,
+                       Instant on_time_since, Instant now) {
   const bool is_pending = pending.oldest < now;
   Instant start = now;
   if (is_pending) start = std::max(pending.oldest, health.LastAnswer());
@@ -80,10 +92,8 @@
   return silence;
 }
 
-bool NeedsProbe(const std::map<ConnectionId, Connection>& connections,
-                const EndpointId& endpoint, const EndpointHealth& health,
+bool NeedsProbe(const PendingRequests& pending, const EndpointHealth& health,
                 Instant on_time_since, Instant now) {
-  const auto pending = FindPending(connections, endpoint);
   if (pending.probe) return false;
   if (health.Failures() > 0) {
     const bool quick =
--- a/Source/Relay/pool_silence.cc
+++ b/Source/Relay/pool_silence.cc
@@ -21,11 +21,15 @@
 }  // namespace
 
 Silence SharedPool::SilenceOf(const EndpointId& endpoint) const {
+  return SilenceOf(endpoint, FindPending(m_connections, endpoint));
+}
+
+Silence SharedPool::SilenceOf(const EndpointId& endpoint,
+                              const PendingRequests& pending) const {
   const auto health = m_health.find(endpoint);
   const auto write = m_last_write_answer.find(endpoint);
   return MeasureSilence(
-      m_connections, endpoint,
-      health == m_health.end() ? EndpointHealth() : health->second,
+      pending, health == m_health.end() ? EndpointHealth() : health->second,
       write == m_last_write_answer.end() ? Instant{} : write->second,
       m_ticks.OnTimeSince(Now()), Now());
 }
@@ -41,8 +45,9 @@
 
 // Reports an endpoint that does not answer on each tick, and its recovery once.
 void SharedPool::ReportSilence() {
+  const auto pending = FindAllPending(m_connections);
   for (const auto& [id, endpoint] : m_directory->endpoints) {
-    const auto silent = SilenceOf(id).Longest();
+    const auto silent = SilenceOf(id, PendingAt(pending, id)).Longest();
     const bool is_silent = silent > kReportSilenceAfter;
     auto& reported = m_silence_reported[id];
     if (!is_silent && !reported) continue;
@@ -53,10 +58,12 @@
 
 void SharedPool::ProbeSilentEndpoints() {
   const auto on_time_since = m_ticks.OnTimeSince(Now());
+  const auto pending = FindAllPending(m_connections);
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     const auto health = m_health.find(id);
     if (health == m_health.end() ||
-        !NeedsProbe(m_connections, id, health->second, on_time_since, Now())) {
+        !NeedsProbe(PendingAt(pending, id), health->second, on_time_since,
+                    Now())) {
       continue;
     }
     auto* connection = FindIdleOfAny(&m_connections, id);
--- a/Source/Relay/pool_zone_contact.cc
+++ b/Source/Relay/pool_zone_contact.cc
@@ -20,15 +20,8 @@
     requests.push_back({connection.pool_host_id, connection.pool_zone,
                         connection.step_sent, IsAnsweredByPool(connection)});
   }
-  std::map<ZoneId, std::size_t> pools;
-  for (const int seat : m_seats.CountedSeats()) {
-    const auto index = static_cast<std::size_t>(seat);
-    if (index >= m_seats.pool_addresses.size()) continue;
-    if (m_seats.pool_addresses[index].empty()) continue;
-    ++pools[m_seats.zones[index]];
-  }
-  const auto decision =
-      m_pool_zones.Update(requests, pools, m_ticks.OnTimeSince(Now()), Now());
+  const auto decision = m_pool_zones.Update(requests, m_pools_by_zone,
+                                            m_ticks.OnTimeSince(Now()), Now());
   for (const auto& zone : decision.silent) LeavePoolZone(zone);
   for (const auto& [zone, count] : decision.probes) ProbePoolZone(zone, count);
 }
--- a/Source/Relay/reachability.cc
+++ b/Source/Relay/reachability.cc
@@ -96,13 +96,15 @@
 // True if an endpoint does not answer this host and no other one does. An
 // endpoint that was never asked says nothing.
 bool RelayCore::NoEndpointAnswers() {
+  const auto pending = FindAllPending(m_connections);
   bool any_silent = false;
   for (const auto& [id, endpoint] : m_directory->endpoints) {
     const auto& health = HealthOf(id);
     const auto silent =
         health.Failures() > 0
             ? Now() - health.LastAnswer()
-            : SilenceOf(endpoint.group, id, m_ticks.OnTimeSince(Now()));
+            : SilenceOf(endpoint.group, id, PendingAt(pending, id),
+                        m_ticks.OnTimeSince(Now()));
     if (silent > kUnreachableAfter) {
       any_silent = true;
     } else if (health.LastAnswer() != Instant{}) {
--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -189,6 +189,13 @@
 
 void RelayCore::On(const SeatsChanged& event) {
   m_seats = event.seats;
+  m_pools_by_zone.clear();
+  for (const int seat : m_seats.CountedSeats()) {
+    const auto index = static_cast<std::size_t>(seat);
+    if (index >= m_seats.pool_addresses.size()) continue;
+    if (m_seats.pool_addresses[index].empty()) continue;
+    ++m_pools_by_zone[m_seats.zones[index]];
+  }
   m_tokens.Update(RateLimits(), m_seats, Now());
 }
 
@@ -254,7 +261,9 @@
   if (!m_directory) return;
   ExpireIdleTransactions();
   StartWaitingAdmin();
-  for (const auto& [name, group] : m_directory->groups) DispatchWaiting(name);
+  for (const auto& name : GroupsWithWaiting()) {
+    if (m_directory->groups.count(name) > 0) DispatchWaiting(name);
+  }
   TrimIdle();
   ProbePools();
   m_loads.Expire(Now());
@@ -387,17 +396,19 @@
 }
 
 void RelayCore::ReportPrimaries() {
+  const auto pending = FindAllPending(m_connections);
   for (const auto& [name, group] : m_directory->groups) {
     const auto* primary = FindEndpoint(group.primary);
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
-    const Duration raw = SilenceOf(name, primary->id, Instant{});
+    const auto& requests = PendingAt(pending, primary->id);
+    const Duration raw = SilenceOf(name, primary->id, requests, Instant{});
     if (state.silent_for >= kReplaceableAfter && raw < kReplaceableAfter) {
       state.primary_uncertain_until = Now() + kPromotionTime;
     }
     state.silent_for = raw;
     const Duration silent =
-        SilenceOf(name, primary->id, m_ticks.OnTimeSince(Now()));
+        SilenceOf(name, primary->id, requests, m_ticks.OnTimeSince(Now()));
     state.evident_silence = silent;
     const bool is_silent = silent > kMinReportedSilence;
     const bool position_due =
@@ -422,10 +433,11 @@
 // How long the primary has left statements unanswered, or left writes
 // unanswered although it answers reads.
 Duration RelayCore::SilenceOf(const GroupId& name, const EndpointId& primary,
+                              const PendingRequests& requests,
                               Instant on_time_since) {
   const auto pool = m_pool_silence.find(primary);
   const auto own =
-      MeasureSilence(m_connections, primary, HealthOf(primary),
+      MeasureSilence(requests, HealthOf(primary),
                      m_groups[name].last_write_answer, on_time_since, Now());
   return std::max(own.Longest(),
                   pool == m_pool_silence.end() ? Duration{} : pool->second);
--- a/Source/Relay/relay_core.h
+++ b/Source/Relay/relay_core.h
@@ -24,6 +24,7 @@
 #include "Limits/retry_budget.h"
 #include "Limits/token_share.h"
 #include "Relay/connection_path.h"
+#include "Relay/endpoint_silence.h"
 #include "Relay/operation_meter.h"
 #include "Relay/pool_health.h"
 #include "Relay/pool_zones.h"
@@ -182,6 +183,8 @@
   void OnRequestLost(Session* session, Refusal unknown_outcome,
                      Refusal without_effect, const std::string& reason);
   void DispatchWaiting(const GroupId& group);
+  // Groups for which requests wait for a connection.
+  std::set<GroupId> GroupsWithWaiting() const;
   bool CanRetry(const Session& session) const;
   Duration ReadTimeout(const Session& session,
                        const EndpointId& endpoint) const;
@@ -355,8 +358,9 @@
   void ExpireIdleTransactions();
   void ProbePrimaries();
   void ReportPrimaries();
+  // `requests`: those that are pending at the primary.
   Duration SilenceOf(const GroupId& name, const EndpointId& primary,
-                     Instant on_time_since);
+                     const PendingRequests& requests, Instant on_time_since);
   std::vector<limits::RateLimit> RateLimits() const;
   void Drain();
   // True if the process may exit before it could answer this request.
@@ -382,6 +386,8 @@
   limits::TokenShare m_tokens;
   limits::RetryBudget m_retry_budget;
   limits::SeatView m_seats;
+  // Number of counted hosts with a shared pool.
+  std::map<ZoneId, std::size_t> m_pools_by_zone;
   DirectoryPtr m_directory;
   MemoryAccount m_session_memory{m_settings.session_values_bytes};
   std::unordered_map<SessionId, Session> m_sessions;
--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -517,6 +517,16 @@
   RetryOrRefuse(session, without_effect, reason);
 }
 
+std::set<GroupId> RelayCore::GroupsWithWaiting() const {
+  std::set<GroupId> groups;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.request) continue;
+    if (session.request->phase != Phase::kWaitForConnection) continue;
+    groups.insert(session.route.group);
+  }
+  return groups;
+}
+
 void RelayCore::DispatchWaiting(const GroupId& group) {
   std::vector<balance::WaitingRequest> waiting;
   for (const auto& [id, session] : m_sessions) {
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -220,12 +220,22 @@
   TrimIdle();
   ProbeSilentEndpoints();
   ReportSilence();
-  for (const auto& [id, endpoint] : m_directory->endpoints) {
+  for (const auto& id : EndpointsWithWaiting()) {
+    if (FindEndpoint(id) == nullptr) continue;
     DispatchWaiting(id);
     EndIdleTransactions(id);
   }
 }
 
+std::set<EndpointId> SharedPool::EndpointsWithWaiting() const {
+  std::set<EndpointId> endpoints;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.pending || session.connection != 0) continue;
+    endpoints.insert(session.endpoint);
+  }
+  return endpoints;
+}
+
 void SharedPool::ExpireSessions() {
   const auto configured = m_directory->transaction_idle;
   const auto limit = configured.count() == 0
--- a/Source/Relay/shared_pool.h
+++ b/Source/Relay/shared_pool.h
@@ -120,6 +120,8 @@
   // Assigns connections to waiting statements: to administrative ones first,
   // then fairly among workspaces.
   void DispatchWaiting(const EndpointId& endpoint);
+  // Endpoints for which statements wait for a connection.
+  std::set<EndpointId> EndpointsWithWaiting() const;
   void Answer(PoolSession* session, StatementResult result);
   void Refuse(PoolSession* session, Refusal refusal, const std::string& reason);
   // True if the session's statement has waited too long for a connection.
@@ -178,6 +180,8 @@
   void ProbeSilentEndpoints();
   void OpenProbe(const Endpoint& endpoint);
   Silence SilenceOf(const EndpointId& endpoint) const;
+  Silence SilenceOf(const EndpointId& endpoint,
+                    const PendingRequests& pending) const;
   const Endpoint* FindEndpoint(const EndpointId& id) const;
   PoolSession* FindSession(SessionId id);
   Connection* FindConnection(ConnectionId id);
