The list of other hosts is kept while the seats do not change

Cause: each event of the control thread copied the list of other hosts, three names of each of 294, to ask whether it is empty or to count it. The choice of readers sorted all hosts by hashes that were computed at each comparison.

Change: the seat table keeps the list until a row changes or a lease ends, and hands out a reference. The choice of readers computes each hash once.

--- a/Source/Fleet/commit_lease.cc
+++ b/Source/Fleet/commit_lease.cc
@@ -39,7 +39,7 @@
 }
 
 Instant CommitLease::EndOfGrants() const {
-  const auto peers = m_seats->Peers();
+  const auto& peers = m_seats->Peers();
   const bool outside_exists =
       std::any_of(peers.begin(), peers.end(),
                   [&](const auto& peer) { return peer.zone != m_self.zone; });
@@ -100,8 +100,7 @@
   std::erase_if(m_granted_until, [&](const auto& item) {
     return item.second + kGrantorLimit <= now;
   });
-  auto peers = m_seats->Peers();
-  if (peers.empty()) {
+  if (m_seats->Peers().empty()) {
     m_informed |= m_seats->Loaded();
     return;
   }
@@ -114,6 +113,7 @@
     return;
   }
   m_queried_at = now;
+  auto peers = m_seats->Peers();
   const auto own_zone = std::stable_partition(
       peers.begin(), peers.end(),
       [&](const auto& peer) { return peer.zone != m_self.zone; });
--- a/Source/Fleet/reader_choice.cc
+++ b/Source/Fleet/reader_choice.cc
@@ -21,14 +21,19 @@
 }
 
 // The readers of a zone with these hosts, in order of their weight.
-std::vector<FleetHost> ReadersAmong(std::vector<FleetHost> hosts) {
+std::vector<FleetHost> ReadersAmong(
+    const std::vector<const FleetHost*>& hosts) {
   const auto count = (hosts.size() + kHostsPerReader - 1) / kHostsPerReader;
-  std::sort(hosts.begin(), hosts.end(),
-            [](const FleetHost& a, const FleetHost& b) {
-              return Weight(a) > Weight(b);
-            });
-  hosts.resize(count);
-  return hosts;
+  std::vector<std::pair<std::uint64_t, const FleetHost*>> weights;
+  weights.reserve(hosts.size());
+  for (const auto* host : hosts) weights.emplace_back(Weight(*host), host);
+  std::partial_sort(
+      weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(count),
+      weights.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<FleetHost> readers;
+  for (std::size_t i = 0; i < count; ++i) readers.push_back(*weights[i].second);
+  return readers;
 }
 
 }  // namespace
@@ -38,12 +43,12 @@
                          const std::set<std::string>& avoided) {
   ReaderPlan plan;
   if (others.size() < kMaxHostsWithoutReaders) return plan;
-  std::map<ZoneId, std::vector<FleetHost>> zones;
-  zones[self.zone].push_back(self);
+  std::map<ZoneId, std::vector<const FleetHost*>> zones;
+  zones[self.zone].push_back(&self);
   for (const auto& host : others) {
-    if (avoided.count(host.host) == 0) zones[host.zone].push_back(host);
+    if (avoided.count(host.host) == 0) zones[host.zone].push_back(&host);
   }
-  const auto pick = [&](const std::vector<FleetHost>& hosts) {
+  const auto pick = [&](const std::vector<const FleetHost*>& hosts) {
     const auto readers = ReadersAmong(hosts);
     return readers[StableHash(self.host) % readers.size()];
   };
--- a/Source/Fleet/seat_table.cc
+++ b/Source/Fleet/seat_table.cc
@@ -176,6 +176,7 @@
 
 void SeatTable::Update(const std::map<std::string, Row>& rows, StoreEra era) {
   const auto now = m_clock->Now();
+  m_peers_until.reset();
   BeginEra(rows, era);
   // Rows are never removed, so a seat keeps its number. Numbers without a row
   // were never used.
@@ -259,6 +260,7 @@
     m_failures = 0;
     ObserveStoreTime(event.now, m_call_sent_at);
     if (m_call_seat >= m_seats.size()) m_seats.resize(m_call_seat + 1);
+    m_peers_until.reset();
     auto& seat = m_seats[m_call_seat];
     seat = m_call_row;
     seat.version = event.version;
@@ -331,12 +333,16 @@
          seat.renewed_at + kLease >= m_complete_at;
 }
 
-std::vector<FleetHost> SeatTable::Peers() const {
-  std::vector<FleetHost> peers;
+const std::vector<FleetHost>& SeatTable::Peers() const {
+  if (m_peers_until && m_complete_at <= *m_peers_until) return m_peers;
+  m_peers.clear();
+  m_peers_until = StoreTime::max();
   for (const auto& seat : m_seats) {
-    if (IsPeer(seat)) peers.push_back({seat.host, seat.address, seat.zone});
+    if (!IsPeer(seat)) continue;
+    m_peers.push_back({seat.host, seat.address, seat.zone});
+    m_peers_until = std::min(*m_peers_until, seat.renewed_at + kLease);
   }
-  return peers;
+  return m_peers;
 }
 
 std::optional<std::string> SeatTable::AddressOf(const HostId& host) const {
--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -73,7 +73,8 @@
   // True once the rows have been read.
   bool Loaded() const { return m_loaded; }
   // Returns the other hosts that hold a seat with a lease that has not expired.
-  std::vector<FleetHost> Peers() const;
+  // The list stays valid until the seats change.
+  const std::vector<FleetHost>& Peers() const;
   // The address of one of these hosts; nullopt if it holds no seat.
   std::optional<std::string> AddressOf(const HostId& host) const;
   // Returns the rank of this host in an order of all hosts that depends only on
@@ -121,6 +122,11 @@
   StoreTime m_adopted_at{0};
   // The store's time at which the rows were complete.
   StoreTime m_complete_at{0};
+  // Result of Peers. It is used by most events, so hundreds of hosts would be
+  // copied a hundred times a second. `until`: when the first of their leases
+  // ends, in terms of m_complete_at; nullopt if the seats have changed.
+  mutable std::vector<FleetHost> m_peers;
+  mutable std::optional<StoreTime> m_peers_until;
   // The store's time in the last answer to this host, and the local time before
   // that request.
   StoreTime m_store_time{0};
