ReportPrimaries keeps the pending requests by value

Cause: a reference to a returned value reads as if the table owned it. Measured: nothing, the code is the same otherwise.

--- a/Source/Relay/relay_core.cc
+++ b/Source/Relay/relay_core.cc
@@ -401,7 +401,7 @@
     const auto* primary = FindEndpoint(group.primary);
     if (primary == nullptr) continue;
     auto& state = m_groups[name];
-    const auto& requests = PendingAt(pending, primary->id);
+    const auto requests = PendingAt(pending, primary->id);
     const Duration raw = SilenceOf(name, primary->id, requests, Instant{});
     if (state.silent_for >= kReplaceableAfter && raw < kReplaceableAfter) {
       state.primary_uncertain_until = Now() + kPromotionTime;
