--- a/Source/Relay/request_flow.cc
+++ b/Source/Relay/request_flow.cc
@@ -1,5 +1,6 @@
 // Requests: choice of the endpoint, forwarding, retries and replies.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Balance/dispatch_order.h"
--- a/Source/Relay/shared_pool.cc
+++ b/Source/Relay/shared_pool.cc
@@ -3,6 +3,7 @@
 #include "Relay/shared_pool.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Common/log.h"
--- a/Source/Relay/shared_pool.h
+++ b/Source/Relay/shared_pool.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
