--- a/Source/Common/clock.h
+++ b/Source/Common/clock.h
@@ -42,4 +42,7 @@
   Instant m_now{std::chrono::hours(1)};
 };
 
+// Processor time that the calling thread has used, or zero if it is unknown.
+Milliseconds ThreadProcessorTime();
+
 }  // namespace tiller
