--- a/Source/Fleet/seat_table.h
+++ b/Source/Fleet/seat_table.h
@@ -123,9 +123,10 @@
   // The store's time at which the rows were complete.
   StoreTime m_complete_at{0};
   // Result of Peers. It is used by most events, so hundreds of hosts would be
-  // copied a hundred times a second. `until`: when the first of their leases
-  // ends, in terms of m_complete_at; nullopt if the seats have changed.
+  // copied a hundred times a second.
   mutable std::vector<FleetHost> m_peers;
+  // When the first of their leases ends, in terms of m_complete_at; nullopt if
+  // the seats have changed since.
   mutable std::optional<StoreTime> m_peers_until;
   // The store's time in the last answer to this host, and the local time before
   // that request.
